--- /dev/null
+++ b/bluebellctl/main.go
@@ -0,0 +1,4 @@
+// Command bluebellctl is part of bluebellhoist.
+package main
+
+func main() {}
--- /dev/null
+++ b/controller/registrar/grants.go
@@ -0,0 +1,142 @@
+package registrar
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"bluebellhoist/core/wire"
+)
+
+// States of a claim.
+const (
+	Granted  = "granted"  // this attempt may run the call
+	Running  = "running"  // another attempt may have run the call; its outcome is unknown
+	Done     = "done"     // the call ran; the answer may be stored
+	Released = "released" // this attempt was given up before it ran
+	Mismatch = "mismatch" // the key was used with another request
+	Expired  = "expired"  // the key is too old to tell whether the call ran
+	Invalid  = "invalid"  // the key is no UUIDv7 or lies in the future
+)
+
+const (
+	// KeyLife is the age up to which an idempotency key is accepted.
+	KeyLife = 24 * time.Hour
+	// GrantLife is how long a claim is kept. It must exceed KeyLife plus KeySkew:
+	// a key is then refused as expired before its record goes.
+	GrantLife = 48 * time.Hour
+	// KeySkew is how far a key may lie in the future.
+	KeySkew = 5 * time.Minute
+)
+
+type grantKey struct {
+	service string
+	key     string
+}
+
+// grants keeps the claims by service and key, in order of time.
+type grants struct {
+	order []grantKey
+	byKey map[grantKey]wire.Grant
+}
+
+func newGrants(list ...wire.Grant) *grants {
+	g := &grants{byKey: make(map[grantKey]wire.Grant, len(list))}
+	for _, grant := range list {
+		g.put(grant)
+	}
+	return g
+}
+
+func (g *grants) list() []wire.Grant {
+	all := make([]wire.Grant, 0, len(g.order))
+	for _, k := range g.order {
+		all = append(all, g.byKey[k])
+	}
+	return all
+}
+
+// put stores grant. The time of the first record of a key stays, so that order is kept.
+func (g *grants) put(grant wire.Grant) {
+	k := grantKey{grant.Claim.Service, grant.Claim.Key}
+	if old, ok := g.byKey[k]; ok {
+		grant.At = old.At
+	} else {
+		g.order = append(g.order, k)
+	}
+	g.byKey[k] = grant
+}
+
+func (g *grants) prune(clock int64) {
+	for len(g.order) > 0 && g.byKey[g.order[0]].At+millis(GrantLife) < clock {
+		delete(g.byKey, g.order[0])
+		g.order = g.order[1:]
+	}
+}
+
+// claim grants the key to the attempt, unless another attempt may have run the call.
+func (g *grants) claim(c wire.Claim, clock int64) wire.Verdict {
+	if state := checkKey(c.Key, clock); state != "" {
+		return wire.Verdict{State: state}
+	}
+	old, exists := g.byKey[grantKey{c.Service, c.Key}]
+	if !exists {
+		g.put(wire.Grant{Claim: c, State: Running, At: clock})
+		return wire.Verdict{State: Granted}
+	}
+	if old.State == Released {
+		if old.Claim.Attempt == c.Attempt {
+			return wire.Verdict{State: Released}
+		}
+		g.put(wire.Grant{Claim: c, State: Running, At: clock})
+		return wire.Verdict{State: Granted}
+	}
+	if old.Claim.Digest != c.Digest {
+		return wire.Verdict{State: Mismatch}
+	}
+	if old.State == Done {
+		return wire.Verdict{State: Done, Status: old.Claim.Status, Kind: old.Claim.Kind, Whole: old.Claim.Whole, Body: old.Claim.Body}
+	}
+	if old.Claim.Attempt == c.Attempt {
+		return wire.Verdict{State: Granted}
+	}
+	return wire.Verdict{State: Running}
+}
+
+// release frees the key. Its attempt has not run and cannot be granted any more.
+func (g *grants) release(c wire.Claim, clock int64) wire.Verdict {
+	old, exists := g.byKey[grantKey{c.Service, c.Key}]
+	if exists && (old.State != Running || old.Claim.Attempt != c.Attempt) {
+		return wire.Verdict{State: old.State}
+	}
+	g.put(wire.Grant{Claim: c, State: Released, At: clock})
+	return wire.Verdict{State: Released}
+}
+
+// finish stores the answer of the attempt that holds the key.
+func (g *grants) finish(c wire.Claim) wire.Verdict {
+	old, exists := g.byKey[grantKey{c.Service, c.Key}]
+	if !exists || old.State != Running || old.Claim.Attempt != c.Attempt {
+		return wire.Verdict{State: Running}
+	}
+	c.Digest = old.Claim.Digest
+	g.put(wire.Grant{Claim: c, State: Done, At: old.At})
+	return wire.Verdict{State: Done}
+}
+
+// checkKey returns the state that refuses the key, or the empty string.
+func checkKey(key string, clock int64) string {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return Invalid
+	}
+	sec, nsec := id.Time().UnixTime()
+	made := time.Unix(sec, nsec).UnixMilli()
+	if made > clock+millis(KeySkew) {
+		return Invalid
+	}
+	if made+millis(KeyLife) < clock {
+		return Expired
+	}
+	return ""
+}
--- /dev/null
+++ b/controller/registrar/registrar.go
@@ -0,0 +1,116 @@
+// Package registrar is the replicated state machine: batches, answers to changes, and claims.
+package registrar
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/wire"
+)
+
+// Codes of a result.
+const (
+	CodeConflict = "conflict" // the batch is at another version than the change's base
+	CodeInvalid  = "invalid"  // the change fails a check
+	CodeMissing  = "missing"  // the change drops a batch that does not exist
+)
+
+// ErrState reports a saved state that cannot be restored.
+var ErrState = errors.New("invalid saved state")
+
+// Registrar applies commands in the order of the log.
+//
+// Apply, Save and Restore run on one goroutine. View may be called from any.
+type Registrar struct {
+	version uint64
+	clock   int64
+	batches map[string]wire.Batch
+	graves  []wire.Grave
+	answers *answers
+	grants  *grants
+	view    atomic.Pointer[View]
+}
+
+// New returns an empty registrar.
+func New() *Registrar {
+	r := &Registrar{batches: map[string]wire.Batch{}, answers: newAnswers(), grants: newGrants()}
+	r.view.Store(newView(r, nil))
+	return r
+}
+
+// Apply runs one command and returns its result. Equal commands in equal order give equal states.
+func (r *Registrar) Apply(cmd wire.Command) wire.Result {
+	// Command times must not go back, or a claim record could be dropped while its key still counts as recent.
+	r.clock = max(r.clock, cmd.At)
+	r.answers.prune(r.clock)
+	r.grants.prune(r.clock)
+	switch {
+	case cmd.Change != nil:
+		return r.change(*cmd.Change)
+	case cmd.Expire:
+		return r.expire()
+	case cmd.Claim != nil:
+		return verdict(r.grants.claim(*cmd.Claim, r.clock))
+	case cmd.Release != nil:
+		return verdict(r.grants.release(*cmd.Release, r.clock))
+	case cmd.Finish != nil:
+		return verdict(r.grants.finish(*cmd.Finish))
+	}
+	return wire.Result{Code: CodeInvalid, Error: "empty command"}
+}
+
+// Save returns the encoded state.
+func (r *Registrar) Save() ([]byte, error) {
+	state := wire.State{
+		Version: r.version,
+		Clock:   r.clock,
+		Batches: sortedBatches(r.batches),
+		Graves:  r.graves,
+		Answers: r.answers.list,
+		Grants:  r.grants.list(),
+	}
+	data, err := encoder.Marshal(state)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrState, err)
+	}
+	return data, nil
+}
+
+// Restore replaces the state with a saved one.
+func (r *Registrar) Restore(data []byte) error {
+	var state wire.State
+	if err := encoder.Unmarshal(data, &state); err != nil {
+		return fmt.Errorf("%w: %v", ErrState, err)
+	}
+	r.version, r.clock, r.graves = state.Version, state.Clock, state.Graves
+	r.batches = make(map[string]wire.Batch, len(state.Batches))
+	for _, b := range state.Batches {
+		r.batches[b.Name] = b
+	}
+	r.answers = newAnswers(state.Answers...)
+	r.grants = newGrants(state.Grants...)
+	r.publish()
+	return nil
+}
+
+// View returns the batches as of the last applied command.
+func (r *Registrar) View() *View {
+	return r.view.Load()
+}
+
+func (r *Registrar) publish() {
+	old := r.view.Load()
+	r.view.Store(newView(r, old))
+	close(old.changed)
+}
+
+func verdict(v wire.Verdict) wire.Result {
+	return wire.Result{Verdict: &v}
+}
+
+func millis(d time.Duration) int64 {
+	return d.Milliseconds()
+}
--- /dev/null
+++ b/daemon/main.go
@@ -0,0 +1,4 @@
+// Command daemon is part of bluebellhoist.
+package main
+
+func main() {}
--- /dev/null
+++ b/loadgen/main.go
@@ -0,0 +1,4 @@
+// Command loadgen is part of bluebellhoist.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is part of bluebellhoist.
+package main
+
+func main() {}
