--- /dev/null
+++ b/controller/administrator/commands.go
@@ -0,0 +1,64 @@
+package administrator
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"bluebellhoist/controller/registrar"
+	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/wire"
+)
+
+// changeTimeout bounds the time until a change is accepted by a majority.
+const changeTimeout = 10 * time.Second
+
+// accepted is the answer to an accepted change.
+type accepted struct {
+	Version uint64 `json:"version"`
+}
+
+// postChange applies the operators' text in the body under the id in the query.
+func (a *Administrator) postChange(c echo.Context) error {
+	id, err := uuid.Parse(c.QueryParam("id"))
+	if err != nil {
+		return problem(c, http.StatusBadRequest, registrar.CodeInvalid, "query parameter id must be a UUID")
+	}
+	text, err := io.ReadAll(io.LimitReader(c.Request().Body, compiler.MaxText+1))
+	if err != nil {
+		return problem(c, http.StatusBadRequest, registrar.CodeInvalid, "body not received: "+err.Error())
+	}
+	edits, err := compiler.Parse(text, time.Now())
+	if err != nil {
+		return problem(c, http.StatusBadRequest, registrar.CodeInvalid, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), changeTimeout)
+	defer cancel()
+	result, err := a.propose(ctx, wire.Command{Change: &wire.Change{ID: id.String(), Edits: edits}})
+	if errors.Is(err, ErrUnavailable) {
+		return unavailable(c, err)
+	}
+	if err != nil {
+		return problem(c, http.StatusGatewayTimeout, CodeUnknown, "outcome unknown, send again with the same id: "+err.Error())
+	}
+	a.log.Info("change", "id", id, "version", result.Version, "code", result.Code)
+	return answerChange(c, result)
+}
+
+func answerChange(c echo.Context, result wire.Result) error {
+	statuses := map[string]int{
+		"":                     http.StatusOK,
+		registrar.CodeConflict: http.StatusConflict,
+		registrar.CodeMissing:  http.StatusNotFound,
+		registrar.CodeInvalid:  http.StatusBadRequest,
+	}
+	if result.Code == "" {
+		return c.JSON(http.StatusOK, accepted{Version: result.Version})
+	}
+	return c.JSON(statuses[result.Code], Problem{Error: result.Error, Code: result.Code, Version: result.Version})
+}
--- /dev/null
+++ b/controller/distributor/session.go
@@ -0,0 +1,203 @@
+package distributor
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/wire"
+)
+
+// session is one connection of a daemon.
+type session struct {
+	d       *Distributor
+	conn    *websocket.Conn
+	hello   atomic.Pointer[wire.Hello]
+	held    atomic.Uint64
+	hellos  chan wire.Hello
+	replies chan wire.Frame
+	slots   chan struct{}
+	bye     chan struct{}
+}
+
+func newSession(d *Distributor, conn *websocket.Conn) *session {
+	return &session{
+		d:       d,
+		conn:    conn,
+		hellos:  make(chan wire.Hello),
+		replies: make(chan wire.Frame),
+		slots:   make(chan struct{}, proposalLimit),
+		bye:     make(chan struct{}),
+	}
+}
+
+// run serves the session until either side ends it.
+func (s *session) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 2)
+	go func() { done <- s.read(ctx) }()
+	go func() { done <- s.write(ctx) }()
+	err := <-done
+	cancel()
+	_ = s.conn.CloseNow()
+	<-done
+	return err
+}
+
+// read takes frames from the daemon and starts the proposals that they ask for.
+func (s *session) read(ctx context.Context) error {
+	var proposals sync.WaitGroup
+	defer proposals.Wait()
+	for {
+		frame, err := s.receive(ctx)
+		if err != nil {
+			return err
+		}
+		switch {
+		case frame.Hello != nil:
+			s.held.Store(frame.Hello.Held)
+			s.hello.Store(frame.Hello)
+			select {
+			case s.hellos <- *frame.Hello:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		case frame.Ack != nil:
+			s.held.Store(frame.Ack.Version)
+		case frame.Claim != nil, frame.Release != nil, frame.Finish != nil:
+			select {
+			case s.slots <- struct{}{}:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+			proposals.Go(func() {
+				s.answer(ctx, frame)
+				<-s.slots
+			})
+		}
+	}
+}
+
+func (s *session) receive(ctx context.Context) (wire.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, SilenceLimit)
+	defer cancel()
+	var frame wire.Frame
+	_, data, err := s.conn.Read(ctx)
+	if err != nil {
+		return frame, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	if err := encoder.Unmarshal(data, &frame); err != nil {
+		return frame, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	return frame, nil
+}
+
+// answer runs the claim command of a frame and replies with its verdict.
+func (s *session) answer(ctx context.Context, frame wire.Frame) {
+	cmd := wire.Command{Claim: frame.Claim, Release: frame.Release, Finish: frame.Finish}
+	reply := wire.Frame{ID: frame.ID}
+	result, err := s.d.propose(ctx, cmd)
+	switch {
+	case err != nil:
+		reply.Error = err.Error()
+	case result.Verdict == nil:
+		reply.Error = result.Error
+	default:
+		reply.Verdict = result.Verdict
+	}
+	select {
+	case s.replies <- reply:
+	case <-ctx.Done():
+	}
+}
+
+// write sends updates, beats and replies.
+func (s *session) write(ctx context.Context) error {
+	var hello wire.Hello
+	select {
+	case hello = <-s.hellos:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	beats := time.NewTicker(BeatInterval)
+	defer beats.Stop()
+	sent, err := s.start(ctx, hello)
+	if err != nil {
+		return err
+	}
+	for {
+		view := s.d.view()
+		if sent, err = s.update(ctx, hello, sent); err != nil {
+			return err
+		}
+		select {
+		case <-view.Changed():
+		case hello = <-s.hellos:
+			if sent, err = s.start(ctx, hello); err != nil {
+				return err
+			}
+		case reply := <-s.replies:
+			err = s.send(ctx, reply)
+		case <-beats.C:
+			err = s.send(ctx, wire.Frame{Beat: &wire.Beat{Version: sent, Fresh: s.d.fresh()}})
+		case <-s.bye:
+			return s.send(ctx, wire.Frame{Bye: true})
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// start handles a hello and returns the version that the daemon holds.
+func (s *session) start(ctx context.Context, hello wire.Hello) (uint64, error) {
+	if !hello.Barrier {
+		return hello.Held, s.send(ctx, wire.Frame{Beat: &wire.Beat{Version: hello.Held, Fresh: s.d.fresh()}})
+	}
+	barrierCtx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	if err := s.d.barrier(barrierCtx); err != nil {
+		_ = s.send(ctx, wire.Frame{Error: "no majority: " + err.Error()})
+		return 0, fmt.Errorf("%w: barrier: %v", ErrSession, err)
+	}
+	return hello.Held, s.send(ctx, wire.Frame{Beat: &wire.Beat{Version: hello.Held, Fresh: true}})
+}
+
+// update sends what the daemon lacks and returns the version that it will then hold.
+func (s *session) update(ctx context.Context, hello wire.Hello, sent uint64) (uint64, error) {
+	view := s.d.view()
+	data, err := s.d.frames.get(view, frameKey{hello.Batch, sent, hello.Full && sent == hello.Held})
+	if err != nil || data == nil {
+		return sent, err
+	}
+	if err := s.sendData(ctx, data); err != nil {
+		return sent, err
+	}
+	batch, _ := view.Batch(hello.Batch)
+	return batch.Version, nil
+}
+
+func (s *session) send(ctx context.Context, frame wire.Frame) error {
+	data, err := encoder.Marshal(frame)
+	if err != nil {
+		return err
+	}
+	return s.sendData(ctx, data)
+}
+
+func (s *session) sendData(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := s.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/controller/messenger/messenger.go
@@ -0,0 +1,207 @@
+// Package messenger carries packets between controllers over WebSocket connections.
+package messenger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/wire"
+)
+
+const (
+	// queueLimit is how many packets may wait for one peer; more are dropped, as the network may do.
+	queueLimit = 256
+	// idleLimit is the time without a packet after which a connection to a peer is closed.
+	idleLimit = time.Minute
+
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 2 * time.Second
+	pingInterval = time.Second
+	redialDelay  = 200 * time.Millisecond
+)
+
+// ErrPeer reports a connection to a peer that failed.
+var ErrPeer = errors.New("connection to peer failed")
+
+// Messenger sends packets to peers and receives theirs.
+type Messenger struct {
+	deliver  func(wire.Packet)
+	log      hclog.Logger
+	outgoing chan outgoing
+}
+
+type outgoing struct {
+	to     netip.AddrPort
+	packet wire.Packet
+}
+
+// Option sets up a Messenger.
+type Option func(*Messenger)
+
+// WithDeliver sets the function that takes the packets of peers.
+func WithDeliver(deliver func(wire.Packet)) Option {
+	return func(m *Messenger) { m.deliver = deliver }
+}
+
+// WithLogger sets the logger.
+func WithLogger(log hclog.Logger) Option {
+	return func(m *Messenger) { m.log = log }
+}
+
+// New returns a messenger.
+func New(opts ...Option) *Messenger {
+	m := &Messenger{
+		deliver:  func(wire.Packet) {},
+		log:      hclog.NewNullLogger(),
+		outgoing: make(chan outgoing, queueLimit),
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+// Send queues a packet for the peer at to. It never blocks; packets may be lost.
+func (m *Messenger) Send(to netip.AddrPort, packet wire.Packet) {
+	select {
+	case m.outgoing <- outgoing{to, packet}:
+	default:
+		m.log.Debug("packet dropped, queue is full", "peer", to)
+	}
+}
+
+// Run sends queued packets until ctx ends.
+func (m *Messenger) Run(ctx context.Context) error {
+	peers := map[netip.AddrPort]chan wire.Packet{}
+	ended := make(chan netip.AddrPort)
+	for {
+		select {
+		case out := <-m.outgoing:
+			queue, ok := peers[out.to]
+			if !ok {
+				queue = make(chan wire.Packet, queueLimit)
+				peers[out.to] = queue
+				go func() {
+					m.serve(ctx, out.to, queue)
+					ended <- out.to
+				}()
+			}
+			select {
+			case queue <- out.packet:
+			default:
+				m.log.Debug("packet dropped, queue is full", "peer", out.to)
+			}
+		case addr := <-ended:
+			delete(peers, addr)
+		case <-ctx.Done():
+			for range peers {
+				<-ended
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+// serve sends the packets of one queue and reconnects until the peer is idle or ctx ends.
+func (m *Messenger) serve(ctx context.Context, to netip.AddrPort, queue chan wire.Packet) {
+	for ctx.Err() == nil {
+		err := m.connect(ctx, to, queue)
+		if err == nil {
+			return
+		}
+		m.log.Debug("peer connection ended", "peer", to, "error", err)
+		select {
+		case <-time.After(redialDelay):
+		case <-ctx.Done():
+		}
+		drop(queue)
+	}
+}
+
+// drop empties a queue whose packets waited for a peer that was out of reach.
+func drop(queue chan wire.Packet) {
+	for range len(queue) {
+		<-queue
+	}
+}
+
+// connect sends packets over one connection. It returns nil once the peer has been idle for idleLimit.
+func (m *Messenger) connect(ctx context.Context, to netip.AddrPort, queue chan wire.Packet) error {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+to.String()+"/v1/peer", nil)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrPeer, err)
+	}
+	defer func() { _ = conn.CloseNow() }()
+	ctx = conn.CloseRead(ctx)
+	pings := time.NewTicker(pingInterval)
+	defer pings.Stop()
+	idle := time.NewTimer(idleLimit)
+	defer idle.Stop()
+	for {
+		select {
+		case packet := <-queue:
+			idle.Reset(idleLimit)
+			err = write(ctx, conn, packet)
+		case <-pings.C:
+			err = ping(ctx, conn)
+		case <-idle.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %v", ErrPeer, err)
+		}
+	}
+}
+
+func write(ctx context.Context, conn *websocket.Conn, packet wire.Packet) error {
+	data, err := encoder.Marshal(packet)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+// ping finds connections that went silent, since a peer sends nothing back on them.
+func ping(ctx context.Context, conn *websocket.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return conn.Ping(ctx)
+}
+
+// ServeHTTP takes the packets of one peer.
+func (m *Messenger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		m.log.Debug("peer not accepted", "remote", r.RemoteAddr, "error", err)
+		return
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(encoder.MaxMessage)
+	for {
+		_, data, err := conn.Read(r.Context())
+		if err != nil {
+			m.log.Debug("peer connection ended", "remote", r.RemoteAddr, "error", err)
+			return
+		}
+		var packet wire.Packet
+		if err := encoder.Unmarshal(data, &packet); err != nil {
+			m.log.Warn("packet not understood", "remote", r.RemoteAddr, "error", err)
+			return
+		}
+		m.deliver(packet)
+	}
+}
--- /dev/null
+++ b/daemon/subscriber/session.go
@@ -0,0 +1,215 @@
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/wire"
+)
+
+// session is one connection to a controller.
+type session struct {
+	s        *Subscriber
+	conn     *websocket.Conn
+	ctx      context.Context
+	outgoing chan wire.Frame
+
+	mu      sync.Mutex
+	ended   bool
+	last    uint64
+	pending map[uint64]chan wire.Frame
+
+	stale time.Time // when the controller was first seen without a majority; zero while it has one
+}
+
+// connect runs one session and reports whether the controller answered.
+func (s *Subscriber) connect(ctx context.Context, c Controller) (bool, error) {
+	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
+	defer cancelDial()
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+c.Addr.String()+"/v1/session", nil)
+	if err != nil {
+		return false, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	conn.SetReadLimit(encoder.MaxMessage)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n := &session{s: s, conn: conn, ctx: ctx, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
+	s.log.Info("connected", "controller", c.Addr)
+	return n.run(cancel)
+}
+
+func (n *session) run(cancel context.CancelFunc) (bool, error) {
+	n.s.session.Store(n)
+	defer n.end()
+	defer n.s.session.CompareAndSwap(n, nil)
+	writer := make(chan error, 1)
+	go func() {
+		writer <- n.write(n.ctx)
+		cancel() // ends the reader, which may wait for the writer
+	}()
+	established, err := n.read(n.ctx)
+	cancel()
+	_ = n.conn.CloseNow()
+	return established, errors.Join(err, <-writer)
+}
+
+// end fails all requests that wait for an answer.
+func (n *session) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ended = true
+	for id, answer := range n.pending {
+		close(answer)
+		delete(n.pending, id)
+	}
+}
+
+// hello returns the message that asks for everything newer than the held snapshot.
+func (n *session) hello(full bool) wire.Frame {
+	hello := &wire.Hello{Name: n.s.name, Domain: n.s.domain, Batch: n.s.batch, Full: full}
+	if held := n.s.Held(); held != nil {
+		hello.Held, hello.Sum = held.Version(), held.Sum()
+	} else {
+		hello.Barrier = true
+	}
+	return wire.Frame{Hello: hello}
+}
+
+func (n *session) write(ctx context.Context) error {
+	if err := n.send(ctx, n.hello(false)); err != nil {
+		return err
+	}
+	beats := time.NewTicker(BeatInterval)
+	defer beats.Stop()
+	for {
+		var frame wire.Frame
+		select {
+		case frame = <-n.outgoing:
+		case <-beats.C:
+			frame = wire.Frame{Beat: &wire.Beat{}}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := n.send(ctx, frame); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *session) send(ctx context.Context, frame wire.Frame) error {
+	data, err := encoder.Marshal(frame)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := n.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	return nil
+}
+
+// read handles the controller's frames and reports whether there was any.
+func (n *session) read(ctx context.Context) (bool, error) {
+	established := false
+	for {
+		frame, err := n.receive(ctx)
+		if err != nil {
+			return established, err
+		}
+		if frame.ID == 0 && frame.Error != "" {
+			return established, fmt.Errorf("%w: %s", ErrRefused, frame.Error)
+		}
+		established = true
+		if err := n.handle(ctx, frame); err != nil {
+			return established, err
+		}
+	}
+}
+
+func (n *session) receive(ctx context.Context) (wire.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, SilenceLimit)
+	defer cancel()
+	var frame wire.Frame
+	_, data, err := n.conn.Read(ctx)
+	if err != nil {
+		return frame, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	if err := encoder.Unmarshal(data, &frame); err != nil {
+		return frame, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	return frame, nil
+}
+
+func (n *session) handle(ctx context.Context, frame wire.Frame) error {
+	switch {
+	case frame.Bye:
+		return fmt.Errorf("%w: controller is stopping", ErrSession)
+	case frame.Full != nil, frame.Delta != nil:
+		return n.take(ctx, frame)
+	case frame.Beat != nil:
+		return n.beat(ctx, *frame.Beat)
+	case frame.ID != 0:
+		n.deliver(frame)
+	}
+	return nil
+}
+
+// take applies an update. After a rejected delta it asks for a full snapshot.
+func (n *session) take(ctx context.Context, frame wire.Frame) error {
+	err := n.s.take(frame)
+	if errors.Is(err, ErrRejected) {
+		n.s.log.Warn("update rejected", "error", err)
+		if frame.Full != nil {
+			return err
+		}
+		return n.enqueue(ctx, n.hello(true))
+	}
+	if err != nil {
+		return err
+	}
+	held := n.s.Held()
+	return n.enqueue(ctx, wire.Frame{Ack: &wire.Ack{Version: held.Version(), Sum: held.Sum()}})
+}
+
+// beat leaves a controller that has lacked a majority for StaleLimit.
+func (n *session) beat(ctx context.Context, beat wire.Beat) error {
+	if held := n.s.Held(); held != nil && beat.Version > held.Version() {
+		return n.enqueue(ctx, n.hello(true))
+	}
+	if beat.Fresh {
+		n.stale = time.Time{}
+		return nil
+	}
+	if n.stale.IsZero() {
+		n.stale = time.Now()
+	}
+	if time.Since(n.stale) >= StaleLimit {
+		return fmt.Errorf("%w: controller has no majority", ErrSession)
+	}
+	return nil
+}
+
+func (n *session) enqueue(ctx context.Context, frame wire.Frame) error {
+	select {
+	case n.outgoing <- frame:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (n *session) deliver(frame wire.Frame) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if answer, ok := n.pending[frame.ID]; ok {
+		answer <- frame
+		delete(n.pending, frame.ID)
+	}
+}
--- /dev/null
+++ b/daemon/subscriber/subscriber.go
@@ -0,0 +1,216 @@
+// Package subscriber keeps a session to a controller and holds the snapshot in effect.
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/wire"
+)
+
+const (
+	// BeatInterval is the time between two beats on a session.
+	BeatInterval = 2 * time.Second
+	// SilenceLimit is the time without a frame after which a session is closed.
+	SilenceLimit = 6 * time.Second
+	// StaleLimit is how long a controller may lack a majority before the daemon tries another.
+	StaleLimit = 6 * time.Second
+
+	minBackoff   = 200 * time.Millisecond
+	maxBackoff   = 10 * time.Second
+	dialTimeout  = 3 * time.Second
+	writeTimeout = 5 * time.Second
+)
+
+// Errors of this layer.
+var (
+	ErrDisconnected = errors.New("no session to a controller")
+	ErrRefused      = errors.New("controller refused the request")
+	ErrSession      = errors.New("session failed")
+	ErrRejected     = errors.New("update rejected")
+	ErrStore        = errors.New("snapshot store failed")
+)
+
+// Controller is one controller that a daemon may connect to.
+type Controller struct {
+	Addr   netip.AddrPort `json:"addr"`
+	Domain string         `json:"domain"`
+}
+
+// Subscriber follows the configuration of one batch.
+type Subscriber struct {
+	name        string
+	domain      string
+	batch       string
+	controllers []Controller
+	store       store
+	random      *rand.Rand
+	log         hclog.Logger
+	onHeld      func(*compiler.Snapshot)
+
+	held    atomic.Pointer[compiler.Snapshot]
+	session atomic.Pointer[session]
+}
+
+// Option sets up a Subscriber.
+type Option func(*Subscriber)
+
+// WithName sets the name, failure domain and batch of the daemon.
+func WithName(name, domain, batch string) Option {
+	return func(s *Subscriber) { s.name, s.domain, s.batch = name, domain, batch }
+}
+
+// WithControllers sets the controllers to choose from.
+func WithControllers(controllers ...Controller) Option {
+	return func(s *Subscriber) { s.controllers = controllers }
+}
+
+// WithFolder sets the data folder that keeps the snapshot over a restart.
+func WithFolder(folder string) Option {
+	return func(s *Subscriber) { s.store = store{folder: folder} }
+}
+
+// WithRandom sets the source of jitter.
+func WithRandom(random *rand.Rand) Option {
+	return func(s *Subscriber) { s.random = random }
+}
+
+// WithLogger sets the logger.
+func WithLogger(log hclog.Logger) Option {
+	return func(s *Subscriber) { s.log = log }
+}
+
+// WithOnHeld sets a function that is called after each new snapshot is in effect.
+func WithOnHeld(onHeld func(*compiler.Snapshot)) Option {
+	return func(s *Subscriber) { s.onHeld = onHeld }
+}
+
+// New returns a subscriber. WithName and WithControllers are required.
+func New(opts ...Option) *Subscriber {
+	s := &Subscriber{
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		log:    hclog.NewNullLogger(),
+		onHeld: func(*compiler.Snapshot) {},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Held returns the snapshot in effect, or nil before the first.
+func (s *Subscriber) Held() *compiler.Snapshot {
+	return s.held.Load()
+}
+
+// Run follows the configuration until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) error {
+	if err := s.restore(); err != nil {
+		return err
+	}
+	backoff := minBackoff
+	for {
+		for _, c := range s.order() {
+			established, err := s.connect(ctx, c)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			s.log.Info("session ended", "controller", c.Addr, "error", err)
+			if established {
+				backoff = minBackoff
+			}
+			// Full jitter spreads the reconnects of all daemons when a controller dies.
+			if err := sleep(ctx, time.Duration(s.random.Int64N(int64(backoff)))); err != nil {
+				return err
+			}
+			backoff = min(2*backoff, maxBackoff)
+		}
+	}
+}
+
+// restore puts the stored snapshot in effect.
+func (s *Subscriber) restore() error {
+	stored, err := s.store.load()
+	if err != nil {
+		return err
+	}
+	if stored == nil {
+		return nil
+	}
+	if stored.Batch().Name != s.batch {
+		s.log.Warn("stored snapshot is of another batch", "stored", stored.Batch().Name, "batch", s.batch)
+		return nil
+	}
+	s.publish(stored)
+	return nil
+}
+
+// order returns the controllers in random order, those of the own failure domain first.
+func (s *Subscriber) order() []Controller {
+	var near, far []Controller
+	for _, i := range s.random.Perm(len(s.controllers)) {
+		if c := s.controllers[i]; c.Domain == s.domain {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	return append(near, far...)
+}
+
+// take puts the snapshot of a frame in effect if it is newer and valid.
+func (s *Subscriber) take(frame wire.Frame) error {
+	next, err := s.build(frame)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrRejected, err)
+	}
+	held := s.Held()
+	if next.Batch().Name != s.batch {
+		return fmt.Errorf("%w: batch %q, want %q", ErrRejected, next.Batch().Name, s.batch)
+	}
+	if held != nil && next.Version() <= held.Version() {
+		return fmt.Errorf("%w: version %d, held %d", ErrRejected, next.Version(), held.Version())
+	}
+	// The snapshot must be durable before it is in effect, or a restart could go back to an older one.
+	if err := s.store.save(next); err != nil {
+		return err
+	}
+	s.publish(next)
+	return nil
+}
+
+func (s *Subscriber) build(frame wire.Frame) (*compiler.Snapshot, error) {
+	if frame.Full != nil {
+		return compiler.New(frame.Full.Batch, frame.Full.Sum)
+	}
+	held := s.Held()
+	if held == nil {
+		return nil, errors.New("delta without a held snapshot")
+	}
+	return held.Merge(*frame.Delta)
+}
+
+func (s *Subscriber) publish(next *compiler.Snapshot) {
+	s.held.Store(next)
+	s.log.Info("snapshot in effect", "batch", s.batch, "version", next.Version())
+	s.onHeld(next)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
