--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -32,7 +34,12 @@
 func (s *Subscriber) connect(ctx context.Context, c Controller) (bool, error) {
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
 	defer cancelDial()
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+c.Addr.String()+"/v1/session", nil)
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return s.dial(ctx, c.Addr)
+	}}
+	defer transport.CloseIdleConnections()
+	opts := &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}}
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+c.Addr.String()+"/v1/session", opts)
 	if err != nil {
 		return false, fmt.Errorf("%w: %v", ErrSession, err)
 	}
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,7 @@
 	random      *rand.Rand
 	log         hclog.Logger
 	onHeld      func(*compiler.Snapshot)
+	dial        func(context.Context, netip.AddrPort) (net.Conn, error)
 
 	held    atomic.Pointer[compiler.Snapshot]
 	session atomic.Pointer[session]
@@ -93,12 +95,20 @@
 	return func(s *Subscriber) { s.onHeld = onHeld }
 }
 
+// WithDial sets the function that opens connections to controllers.
+func WithDial(dial func(context.Context, netip.AddrPort) (net.Conn, error)) Option {
+	return func(s *Subscriber) { s.dial = dial }
+}
+
 // New returns a subscriber. WithName and WithControllers are required.
 func New(opts ...Option) *Subscriber {
 	s := &Subscriber{
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:    hclog.NewNullLogger(),
 		onHeld: func(*compiler.Snapshot) {},
+		dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", addr.String())
+		},
 	}
 	for _, opt := range opts {
 		opt(s)
