Fail the subscriber test when a planned stop is not followed at once

Cause: the test for bye passed without the handling of bye, because the silence limit moved the daemon 6 s later. Change: that case now allows 1 s of fake time. Measured: without the handling of bye the case now fails.

--- a/daemon/subscriber/subscriber_test.go
+++ b/daemon/subscriber/subscriber_test.go
@@ -284,11 +284,13 @@
 
 // TestMoves guards against a proxy that stays with a controller that cannot bring it new versions.
 func TestMoves(t *testing.T) {
+	const converge = 14 * time.Second // the time allowed for a change to be in force everywhere
 	cases := []struct {
-		name  string
-		serve func(*peer)
+		name   string
+		within time.Duration
+		serve  func(*peer)
 	}{
-		{"stale controller", func(p *peer) {
+		{"stale controller", converge, func(p *peer) {
 			p.next()
 			p.send(full(5, "a"))
 			ended := make(chan struct{})
@@ -305,18 +307,18 @@
 				}
 			}
 		}},
-		{"silent connection", func(p *peer) {
+		{"silent connection", converge, func(p *peer) {
 			p.next()
 			p.send(full(5, "a"))
 			p.drain()
 		}},
-		{"planned stop", func(p *peer) {
+		{"planned stop", time.Second, func(p *peer) {
 			p.next()
 			p.send(full(5, "a"))
 			p.send(wire.Frame{Bye: true})
 			p.drain()
 		}},
-		{"refused barrier", func(p *peer) {
+		{"refused barrier", time.Second, func(p *peer) {
 			p.next()
 			p.send(wire.Frame{Error: "no majority"})
 			p.drain()
@@ -334,7 +336,7 @@
 					}),
 				}
 				s := start(t, ctx, fakes)
-				time.Sleep(14 * time.Second) // the time allowed for a change to be in force everywhere
+				time.Sleep(c.within)
 				synctest.Wait()
 				assertHeld(t, s, 6)
 			})
