Add replicated log and its durable storage

Cause: the controllers had no replicated log. The wire schema gets Identity, Record, Checkpoint and Packet.age. Conclusion: a group of three in one process elects, forwards, answers barriers and transfers leadership.

--- /dev/null
+++ b/controller/replicator/errors.go
@@ -0,0 +1,22 @@
+package replicator
+
+import "errors"
+
+var (
+	// ErrUnknown reports a proposal that may or may not be committed. The caller may repeat it with the same id.
+	ErrUnknown = errors.New("outcome of the proposal is unknown")
+	// ErrTooLarge reports a command that is too large for one entry.
+	ErrTooLarge = errors.New("command is too large")
+	// ErrUnavailable reports a barrier that was not confirmed by a majority in time.
+	ErrUnavailable = errors.New("no majority confirmed the read")
+	// ErrTransfer reports that no other voter took over leadership.
+	ErrTransfer = errors.New("leadership was not transferred")
+	// ErrStopped reports a call on a replicator that has stopped.
+	ErrStopped = errors.New("replicator has stopped")
+	// ErrStorage reports that the durable state could not be written. The node must stop.
+	ErrStorage = errors.New("durable state could not be written")
+	// ErrState reports that the state machine could not be saved or restored.
+	ErrState = errors.New("state machine could not be saved or restored")
+	// ErrFault reports a broken invariant of the replicated log.
+	ErrFault = errors.New("replicated log invariant is broken")
+)
--- /dev/null
+++ b/controller/replicator/follower.go
@@ -0,0 +1,64 @@
+package replicator
+
+import "bluebellhoist/core/wire"
+
+func (c *core) onAppend(p wire.Packet) {
+	c.hearLeader(p)
+	for i, e := range p.Entries {
+		if e.Index != p.Index+1+uint64(i) {
+			return
+		}
+	}
+	if p.Index < c.log.base {
+		c.replyAppend(p, c.log.commit)
+		return
+	}
+	if term, ok := c.log.term(p.Index); !ok || term != p.Prior {
+		c.rejectAppend(p)
+		return
+	}
+	for _, e := range p.Entries {
+		term, ok := c.log.term(e.Index)
+		if ok && term == e.Term {
+			continue
+		}
+		if ok && !c.truncate(e.Index) {
+			return
+		}
+		c.log.append(e)
+	}
+	matched := p.Index + uint64(len(p.Entries))
+	c.log.commit = max(c.log.commit, min(p.Commit, matched))
+	c.replyAppend(p, matched)
+}
+
+func (c *core) truncate(index uint64) bool {
+	if index <= c.log.commit {
+		c.fail("leader %s replaces the committed entry %d", c.lead.ID, index)
+		return false
+	}
+	c.log.truncate(index)
+	return true
+}
+
+func (c *core) replyAppend(p wire.Packet, matched uint64) {
+	reply := c.packet(kindAppendReply, p.From.ID)
+	reply.Seq, reply.Index = p.Seq, matched
+	c.sendLate(p.From.Addr, reply)
+}
+
+// rejectAppend tells the leader the last index that may match: the one before all entries of the conflicting term.
+func (c *core) rejectAppend(p wire.Packet) {
+	hint := min(p.Index, c.log.last())
+	if conflict, ok := c.log.term(p.Index); ok {
+		for hint > c.log.commit {
+			if term, _ := c.log.term(hint); term != conflict {
+				break
+			}
+			hint--
+		}
+	}
+	reply := c.packet(kindAppendReply, p.From.ID)
+	reply.Seq, reply.Index, reply.Reject, reply.Hint = p.Seq, p.Index, true, hint
+	c.sendLate(p.From.Addr, reply)
+}
--- /dev/null
+++ b/controller/replicator/members.go
@@ -0,0 +1,156 @@
+package replicator
+
+import (
+	"net/netip"
+	"slices"
+
+	"bluebellhoist/core/wire"
+)
+
+func (c *core) member(id string) (wire.Node, bool) {
+	i := slices.IndexFunc(c.log.nodes, func(n wire.Node) bool { return n.ID == id })
+	if i < 0 {
+		return wire.Node{}, false
+	}
+	return c.log.nodes[i], true
+}
+
+func (c *core) isVoter(id string) bool {
+	n, ok := c.member(id)
+	return ok && n.Voter
+}
+
+// quorum returns the size of a majority of the voters.
+func (c *core) quorum() int {
+	voters := 0
+	for _, n := range c.log.nodes {
+		if n.Voter {
+			voters++
+		}
+	}
+	return voters/2 + 1
+}
+
+// mayChange allows one membership change at a time, and none before an entry of the own term is committed: majorities of
+// memberships that are one step apart intersect only if the leader knows the last committed one.
+func (c *core) mayChange() bool {
+	return c.log.nodesIndex <= c.log.commit && c.ownTermCommitted() && c.target == ""
+}
+
+// setNode adds or replaces one node.
+func (c *core) setNode(node wire.Node) {
+	nodes := slices.Clone(c.log.nodes)
+	i := slices.IndexFunc(nodes, func(n wire.Node) bool { return n.ID == node.ID })
+	if i < 0 {
+		nodes = append(nodes, node)
+	} else {
+		nodes[i] = node
+	}
+	c.appendEntry(wire.Entry{Nodes: nodes})
+}
+
+func (c *core) removeNode(id string) {
+	nodes := slices.DeleteFunc(slices.Clone(c.log.nodes), func(n wire.Node) bool { return n.ID == id })
+	c.appendEntry(wire.Entry{Nodes: nodes})
+}
+
+// joinIfLost asks to be replicated to while no leader is known.
+func (c *core) joinIfLost() {
+	if c.role != leader && c.lead.ID == "" && c.tick >= c.nextJoin {
+		c.nextJoin = c.tick + joinTicks
+		c.sendJoin()
+	}
+}
+
+// sendJoin asks the known addresses for the leader.
+func (c *core) sendJoin() {
+	addrs := slices.Clone(c.seeds)
+	for _, n := range c.log.nodes {
+		addrs = append(addrs, n.Addr)
+	}
+	seen := map[netip.AddrPort]bool{c.self.Addr: true}
+	for _, addr := range addrs {
+		if !seen[addr] {
+			seen[addr] = true
+			c.sendLate(addr, c.packet(kindJoin, ""))
+		}
+	}
+}
+
+// onJoin admits a node as learner, or passes its request to the leader once.
+func (c *core) onJoin(p wire.Packet) {
+	if c.cluster == "" || p.Cluster != "" && p.Cluster != c.cluster || p.From.ID == "" || p.From.ID == c.self.ID {
+		return
+	}
+	if c.role == leader {
+		c.admit(p.From)
+		return
+	}
+	if c.lead.ID != "" && !p.Last {
+		p.Last = true
+		c.sendLate(c.lead.Addr, p)
+	}
+}
+
+func (c *core) admit(node wire.Node) {
+	old, known := c.member(node.ID)
+	node.Voter = old.Voter
+	if known && node == old || !c.mayChange() {
+		return
+	}
+	c.setNode(node)
+}
+
+// maintain makes at most one change: it removes a lost identity or promotes a learner.
+func (c *core) maintain() {
+	if !c.mayChange() {
+		return
+	}
+	for _, n := range c.log.nodes {
+		p := c.peers[n.ID]
+		if p == nil || n.Voter || !c.active(p) || p.match+caughtUp < c.log.last() {
+			continue
+		}
+		if rival, ok := c.rival(n); ok {
+			if c.removable(rival) {
+				c.removeNode(rival.ID)
+				return
+			}
+			continue
+		}
+		if p.wish {
+			n.Voter = true
+			c.setNode(n)
+			return
+		}
+	}
+}
+
+// rival returns another identity with the same name.
+func (c *core) rival(node wire.Node) (wire.Node, bool) {
+	for _, n := range c.log.nodes {
+		if n.Name == node.Name && n.ID != node.ID {
+			return n, true
+		}
+	}
+	return wire.Node{}, false
+}
+
+// removable reports whether a node has been silent long enough and the voters that remain have an active majority.
+func (c *core) removable(node wire.Node) bool {
+	p := c.peers[node.ID]
+	if p == nil || c.tick-p.active < silentTicks {
+		return false
+	}
+	voters, live := 0, 0
+	for _, n := range c.log.nodes {
+		if !n.Voter || n.ID == node.ID {
+			continue
+		}
+		voters++
+		if n.ID == c.self.ID || c.active(c.peers[n.ID]) {
+			live++
+		}
+	}
+	return live >= voters/2+1
+}
--- /dev/null
+++ b/controller/replicator/replicator_test.go
@@ -0,0 +1,158 @@
+package replicator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/controller/replicator"
+	"bluebellhoist/controller/storer"
+	"bluebellhoist/core/wire"
+)
+
+// group is several nodes in one process with real data folders.
+type group struct {
+	mu    sync.Mutex
+	nodes map[netip.AddrPort]*replicator.Replicator
+	cut   map[netip.AddrPort]bool
+	stops []func()
+	last  []uint64 // index last applied, by node
+}
+
+func (g *group) send(from, to netip.AddrPort, p wire.Packet) {
+	g.mu.Lock()
+	node := g.nodes[to]
+	if g.cut[from] || g.cut[to] {
+		node = nil
+	}
+	g.mu.Unlock()
+	if node != nil {
+		node.Deliver(p)
+	}
+}
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+}
+
+func start(tb testing.TB, count int) *group {
+	is := is.New(tb)
+	g := &group{nodes: map[netip.AddrPort]*replicator.Replicator{}, cut: map[netip.AddrPort]bool{}, last: make([]uint64, count)}
+	folder := tb.TempDir()
+	for i := range count {
+		node := wire.Node{Name: fmt.Sprintf("node-%d", i), Addr: addr(i), Voter: true}
+		path := filepath.Join(folder, node.Name)
+		if i == 0 {
+			_, err := storer.Init(path, node)
+			is.NoErr(err)
+		}
+		store, err := storer.Open(path, node.Name)
+		is.NoErr(err)
+		r := replicator.New(
+			replicator.WithStore(store), replicator.WithNode(node), replicator.WithSeeds([]netip.AddrPort{addr(0)}),
+			replicator.WithSend(func(to netip.AddrPort, p wire.Packet) { g.send(addr(i), to, p) }),
+			replicator.WithApply(func(index uint64, _ wire.Command) wire.Result {
+				g.last[i] = index
+				return wire.Result{Version: index}
+			}),
+			replicator.WithSave(func() ([]byte, error) { return []byte{1}, nil }),
+			replicator.WithRestore(func([]byte) error { return nil }),
+			replicator.WithRandom(rand.New(rand.NewPCG(uint64(i), 1))),
+		)
+		g.mu.Lock()
+		g.nodes[addr(i)] = r
+		g.mu.Unlock()
+		ctx, cancel := context.WithCancel(tb.Context())
+		done := make(chan error, 1)
+		go func() { done <- r.Run(ctx) }()
+		g.stops = append(g.stops, func() {
+			cancel()
+			is.NoErr(<-done)
+			is.NoErr(store.Close())
+		})
+	}
+	return g
+}
+
+func (g *group) stop() {
+	for _, stop := range g.stops {
+		stop()
+	}
+}
+
+// waitVoters waits until node 0 leads with so many voters.
+func (g *group) waitVoters(count int) {
+	for {
+		s, voters := g.nodes[addr(0)].Status(), 0
+		for _, n := range s.Nodes {
+			if n.Voter {
+				voters++
+			}
+		}
+		if s.Role == "leader" && voters == count && s.Applied == s.Commit {
+			return
+		}
+		time.Sleep(replicator.Tick)
+	}
+}
+
+// TestGroup guards against a runtime that loses the answer of a forwarded proposal, answers a barrier without a majority
+// or keeps leadership at a planned stop.
+func TestGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := start(t, 3)
+		defer g.stop()
+		g.waitVoters(3)
+		ctx := t.Context()
+		result, err := g.nodes[addr(2)].Propose(ctx, wire.Command{Expire: true})
+		is.NoErr(err)
+		is.NoErr(g.nodes[addr(1)].Barrier(ctx))
+		is.True(g.last[1] >= result.Version) // applied here before the barrier returns
+		is.NoErr(g.nodes[addr(0)].Transfer(ctx))
+		is.True(g.nodes[addr(0)].Status().Role != "leader")
+		_, err = g.nodes[addr(0)].Propose(ctx, wire.Command{Expire: true})
+		is.NoErr(err)
+
+		g.mu.Lock()
+		g.cut[addr(0)] = true
+		g.mu.Unlock()
+		alone, cancel := context.WithTimeout(ctx, 10*time.Second)
+		defer cancel()
+		err = g.nodes[addr(0)].Barrier(alone)
+		is.True(errors.Is(err, replicator.ErrUnavailable))
+		is.True(time.Since(g.nodes[addr(0)].Status().Fresh) > 9*time.Second) // a cut-off node is not fresh
+	})
+}
+
+// BenchmarkPropose measures proposals per second with real syncs.
+func BenchmarkPropose(b *testing.B) {
+	for _, count := range []int{1, 3} {
+		b.Run(fmt.Sprintf("voters=%d", count), func(b *testing.B) {
+			g := start(b, count)
+			defer g.stop()
+			g.waitVoters(count)
+			cmd := wire.Command{Claim: &wire.Claim{Service: "payout", Key: "0190b5a4-5b0e-7c1d-8a2f-3b4c5d6e7f80", Attempt: "a"}}
+			b.SetParallelism(32)
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if _, err := g.nodes[addr(0)].Propose(b.Context(), cmd); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "proposals/s")
+		})
+	}
+}
--- /dev/null
+++ b/controller/replicator/status.go
@@ -0,0 +1,45 @@
+package replicator
+
+import (
+	"time"
+
+	"bluebellhoist/core/wire"
+)
+
+// Status is a view of the node at one moment.
+type Status struct {
+	Cluster string
+	Self    wire.Node // Voter tells the membership, not the settings
+	Role    string    // leader, follower, candidate, pre-candidate or learner
+	Term    uint64
+	Leader  wire.Node // empty ID if unknown
+	Commit  uint64
+	Applied uint64
+	Fresh   time.Time // last time a leader is known to have had a majority; zero if never
+	Nodes   []wire.Node
+}
+
+// Status returns the current status. It may be called from any goroutine.
+func (r *Replicator) Status() Status {
+	return *r.status.Load()
+}
+
+// publish makes the status of the core visible.
+func (r *Replicator) publish() {
+	c := r.core
+	s := Status{
+		Cluster: c.cluster, Self: c.self, Role: string(c.role), Term: c.term, Leader: c.lead,
+		Commit: c.log.commit, Applied: c.log.delivered, Nodes: c.log.nodes,
+	}
+	s.Self.Voter = c.isVoter(c.self.ID)
+	if c.role == follower && !s.Self.Voter {
+		s.Role = "learner"
+	}
+	if c.everFresh {
+		s.Fresh = r.started.Add(time.Duration(c.fresh) * Tick)
+	}
+	old := r.status.Swap(&s)
+	if old != nil && (old.Role != s.Role || old.Term != s.Term || old.Leader.ID != s.Leader.ID) {
+		r.log.Info("role changed", "role", s.Role, "term", s.Term, "leader", s.Leader.Name)
+	}
+}
--- /dev/null
+++ b/controller/storer/folder.go
@@ -0,0 +1,64 @@
+package storer
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// lock opens the folder for this process only. The kernel drops the lock when the process ends.
+func lock(folder string) (*Storer, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrIO, err)
+	}
+	f, err := os.OpenFile(filepath.Join(folder, lockFile), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrIO, err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, fmt.Errorf("%w: %s", ErrLocked, folder)
+		}
+		return nil, fmt.Errorf("%w: %v", ErrIO, err)
+	}
+	return &Storer{folder: folder, lock: f}, nil
+}
+
+// replace writes a file atomically: after a crash it holds either the old or the new contents.
+func (s *Storer) replace(name string, data []byte) error {
+	path := filepath.Join(s.folder, name)
+	temp := path + ".tmp"
+	if err := writeSynced(temp, data); err != nil {
+		return fmt.Errorf("%w: %v", ErrIO, err)
+	}
+	if err := os.Rename(temp, path); err != nil {
+		return fmt.Errorf("%w: %v", ErrIO, err)
+	}
+	if err := syncFolder(s.folder); err != nil {
+		return fmt.Errorf("%w: %v", ErrIO, err)
+	}
+	return nil
+}
+
+func writeSynced(path string, data []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
+func syncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
--- /dev/null
+++ b/controller/storer/storer.go
@@ -0,0 +1,197 @@
+// Package storer keeps the durable state of one replicator in a data folder: identity, term, vote, log and checkpoint.
+//
+// A data folder holds the files lock, identity, checkpoint and log. Identity and checkpoint are replaced atomically. The
+// log is appended to, one frame for each sync, and replaced atomically when it is compacted.
+package storer
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/google/uuid"
+
+	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/wire"
+)
+
+const (
+	identityFile   = "identity"
+	logFile        = "log"
+	checkpointFile = "checkpoint"
+	lockFile       = "lock"
+)
+
+var (
+	// ErrDamaged reports durable state that is missing or fails its checksum before the tail of the log.
+	ErrDamaged = errors.New("data folder is damaged")
+	// ErrExists reports a folder that already holds a node.
+	ErrExists = errors.New("data folder is in use by an existing node")
+	// ErrLocked reports a folder that another process has open.
+	ErrLocked = errors.New("data folder is locked by another process")
+	// ErrName reports a folder that belongs to a node of another name.
+	ErrName = errors.New("data folder belongs to another node")
+	// ErrIO reports a failed read or write.
+	ErrIO = errors.New("data folder I/O failed")
+)
+
+// State is what a folder held when it was opened.
+type State struct {
+	Term       uint64
+	Vote       string
+	Base       uint64 // index before the first of Entries
+	Prior      uint64 // term of the entry at Base
+	Entries    []wire.Entry
+	Checkpoint wire.Checkpoint
+}
+
+// Storer writes the durable state of one node. Its methods are for one goroutine.
+type Storer struct {
+	folder   string
+	lock     *os.File
+	log      *os.File
+	size     int64
+	identity wire.Identity
+	state    State
+	cut      int64
+	failed   error
+}
+
+// Open opens the folder and makes a new identity if it is empty.
+func Open(folder, name string) (*Storer, error) {
+	s, err := lock(folder)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.load(name); err != nil {
+		_ = s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Init makes a new cluster in an empty folder with self as its only voter.
+func Init(folder string, self wire.Node) (wire.Identity, error) {
+	s, err := lock(folder)
+	if err != nil {
+		return wire.Identity{}, err
+	}
+	defer s.Close()
+	for _, name := range []string{identityFile, logFile, checkpointFile} {
+		if _, err := os.Stat(filepath.Join(folder, name)); !errors.Is(err, fs.ErrNotExist) {
+			return wire.Identity{}, fmt.Errorf("%w: %s", ErrExists, folder)
+		}
+	}
+	self.ID, self.Voter = uuid.NewString(), true
+	first := wire.Entry{Index: 1, Term: 1, Nodes: []wire.Node{self}}
+	if err := s.create(uuid.NewString(), self.ID, self.Name, wire.Record{Term: 1, Entries: []wire.Entry{first}}); err != nil {
+		return wire.Identity{}, err
+	}
+	return s.identity, nil
+}
+
+// Identity returns the identity of the node.
+func (s *Storer) Identity() wire.Identity {
+	return s.identity
+}
+
+// State returns what the folder held when it was opened.
+func (s *Storer) State() State {
+	return s.state
+}
+
+// Cut returns how many bytes of a torn last record were cut off when the folder was opened.
+func (s *Storer) Cut() int64 {
+	return s.cut
+}
+
+// Close releases the folder.
+func (s *Storer) Close() error {
+	var err error
+	if s.log != nil {
+		err = s.log.Close()
+	}
+	return errors.Join(err, s.lock.Close())
+}
+
+// Join makes the cluster identity durable.
+func (s *Storer) Join(cluster string) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	next := s.identity
+	next.Cluster = cluster
+	if err := s.writeIdentity(next); err != nil {
+		return s.fail(err)
+	}
+	return nil
+}
+
+// fail makes every later write fail: after a failed write or sync the contents of the file are not known.
+func (s *Storer) fail(err error) error {
+	s.failed = err
+	return err
+}
+
+func (s *Storer) load(name string) error {
+	data, err := os.ReadFile(filepath.Join(s.folder, identityFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		if err := s.checkEmpty(); err != nil {
+			return err
+		}
+		return s.create("", uuid.NewString(), name, wire.Record{})
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrIO, err)
+	}
+	parts, _ := scan(data, 0)
+	if len(parts) != 1 || encoder.Unmarshal(parts[0], &s.identity) != nil {
+		return fmt.Errorf("%w: %s", ErrDamaged, identityFile)
+	}
+	if s.identity.Name != name {
+		return fmt.Errorf("%w: it is %q, the settings say %q", ErrName, s.identity.Name, name)
+	}
+	if err := s.loadCheckpoint(); err != nil {
+		return err
+	}
+	return s.loadLog()
+}
+
+// checkEmpty accepts a folder without identity only if nothing was promised from it: the identity is written last.
+func (s *Storer) checkEmpty() error {
+	if _, err := os.Stat(filepath.Join(s.folder, checkpointFile)); !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("%w: %s without %s", ErrDamaged, checkpointFile, identityFile)
+	}
+	if _, err := os.Stat(filepath.Join(s.folder, logFile)); errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err := s.loadLog(); err != nil {
+		return err
+	}
+	if s.state.Term != 0 || len(s.state.Entries) > 0 {
+		return fmt.Errorf("%w: %s without %s", ErrDamaged, logFile, identityFile)
+	}
+	return s.log.Close()
+}
+
+func (s *Storer) create(cluster, id, name string, rec wire.Record) error {
+	if err := s.rewrite(rec); err != nil {
+		return err
+	}
+	s.state = State{Term: rec.Term, Entries: rec.Entries}
+	return s.writeIdentity(wire.Identity{Cluster: cluster, ID: id, Name: name})
+}
+
+func (s *Storer) writeIdentity(identity wire.Identity) error {
+	data, err := encoder.Marshal(identity)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrIO, err)
+	}
+	if err := s.replace(identityFile, frame(nil, 0, data)); err != nil {
+		return err
+	}
+	s.identity = identity
+	return nil
+}
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -50,6 +50,22 @@
 	ID string `json:"id"`
 }
 
+// Checkpoint is a state snapshot with the log position and the membership it
+// covers.
+type Checkpoint struct {
+	// Encoded state of the state machine.
+	Data []byte `json:"data"`
+
+	// Index of the last entry it covers.
+	Index uint64 `json:"index"`
+
+	// Membership at that entry.
+	Nodes []Node `json:"nodes,omitempty,omitzero"`
+
+	// Term of that entry.
+	Term uint64 `json:"term"`
+}
+
 // Claim asks for, releases or finishes the right to run one call.
 type Claim struct {
 	// Identifier of the attempt.
@@ -270,6 +286,18 @@
 	Sum uint64 `json:"sum"`
 }
 
+// Identity names the owner of a data folder.
+type Identity struct {
+	// Identity of the cluster; empty until the node joins one.
+	Cluster string `json:"cluster"`
+
+	// Random identity of the node, made with the data folder.
+	ID string `json:"id"`
+
+	// Name of the node from the settings.
+	Name string `json:"name"`
+}
+
 // Member is one daemon as gossip knows it.
 type Member struct {
 	// Address for calls and gossip.
@@ -323,6 +351,9 @@
 
 // Packet is one message between controllers.
 type Packet struct {
+	// Time since the leader last had a majority confirmed, in nanoseconds.
+	Age time.Duration `json:"age"`
+
 	// Identity of the cluster.
 	Cluster string `json:"cluster"`
 
@@ -372,6 +403,24 @@
 	To string `json:"to"`
 }
 
+// Record is one durable write to the log.
+type Record struct {
+	// Index before the first entry of the file; used in its first record only.
+	Base uint64 `json:"base"`
+
+	// Entries that replace the log from the first one's index on.
+	Entries []Entry `json:"entries,omitempty,omitzero"`
+
+	// Term of the entry at base.
+	Prior uint64 `json:"prior"`
+
+	// Current term.
+	Term uint64 `json:"term"`
+
+	// Node voted for in the term; empty if none.
+	Vote string `json:"vote"`
+}
+
 // Result is what applying a command returned.
 type Result struct {
 	// Error code: empty, conflict, invalid or missing.
