Add gossiper and announcer

Cause: the daemon had no membership and no API for its local upstream. Change: SWIM-style gossiper with checksummed datagrams, indirect probes, refutation, full exchanges, retries of dead members and confirmed leave; announcer with the loopback API. A test spreads a new member and ready=false among 100 members. Ruled out: obeying another member's verdict of dead. After a partition heals, each half would report the other half's own members as dead.

--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -209,7 +209,7 @@
 	// Name of the sender.
 	From string `json:"from"`
 
-	// Kind: ping, ack, relay or sync.
+	// Kind: ping, ack, relay, push or sync.
 	Kind string `json:"kind"`
 
 	// Membership updates.
--- /dev/null
+++ b/daemon/announcer/api.go
@@ -0,0 +1,117 @@
+package announcer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"bluebellhoist/core/wire"
+)
+
+// ErrInvalid reports an announcement that cannot be used.
+var ErrInvalid = errors.New("invalid announcement")
+
+const (
+	path     = "/v1/upstream"
+	maxBody  = 64 << 10
+	maxSlots = 1 << 16
+	maxConns = 1 << 16
+)
+
+var serviceName = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// announcement is the body of a PUT. The address is text so that an error can name the field.
+type announcement struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+	Conns   int    `json:"conns"`
+}
+
+type status struct {
+	announcement
+	Since int64 `json:"since"`
+}
+
+type failure struct {
+	Error string `json:"error"`
+}
+
+// Register adds the routes of the upstream's API.
+func (a *Announcer) Register(e *echo.Echo) {
+	e.PUT(path, a.put)
+	e.DELETE(path, a.delete)
+	e.GET(path, a.get)
+}
+
+func (a *Announcer) put(c echo.Context) error {
+	u, err := parse(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, failure{err.Error()})
+	}
+	err = a.announce(u, time.Now())
+	switch {
+	case errors.Is(err, ErrLeaving):
+		return c.JSON(http.StatusConflict, failure{err.Error()})
+	case err != nil:
+		return c.JSON(http.StatusServiceUnavailable, failure{err.Error()})
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (a *Announcer) delete(c echo.Context) error {
+	if err := a.leave(c.Request().Context()); err != nil {
+		return c.JSON(http.StatusServiceUnavailable, failure{"calls are still in progress: " + err.Error()})
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (a *Announcer) get(c echo.Context) error {
+	u, since, ok := a.status()
+	if !ok {
+		return c.JSON(http.StatusNotFound, failure{"no upstream is announced"})
+	}
+	return c.JSON(http.StatusOK, status{announcement{u.Service, u.Address.String(), u.Slots, u.Conns}, since})
+}
+
+// parse decodes and checks an announcement.
+func parse(body io.Reader) (wire.Upstream, error) {
+	var in announcement
+	dec := json.NewDecoder(body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&in); err != nil {
+		return wire.Upstream{}, decodeError(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return wire.Upstream{}, fmt.Errorf("%w: data after the first value", ErrInvalid)
+	}
+	addr, err := netip.ParseAddrPort(in.Address)
+	addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+	switch {
+	case !serviceName.MatchString(in.Service):
+		return wire.Upstream{}, fmt.Errorf("%w: service %q must match %s", ErrInvalid, in.Service, serviceName)
+	case err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast():
+		return wire.Upstream{}, fmt.Errorf("%w: address %q must be the IP address and port of the upstream", ErrInvalid, in.Address)
+	case in.Slots < 1 || in.Slots > maxSlots:
+		return wire.Upstream{}, fmt.Errorf("%w: slots %d must be from 1 to %d", ErrInvalid, in.Slots, maxSlots)
+	case in.Conns < 1 || in.Conns > maxConns:
+		return wire.Upstream{}, fmt.Errorf("%w: conns %d must be from 1 to %d", ErrInvalid, in.Conns, maxConns)
+	}
+	return wire.Upstream{Service: in.Service, Address: addr, Slots: in.Slots, Conns: in.Conns}, nil
+}
+
+// decodeError names the field where the decoder does.
+func decodeError(err error) error {
+	var typed *json.UnmarshalTypeError
+	if errors.As(err, &typed) && typed.Field != "" {
+		return fmt.Errorf("%w: %s cannot be a %s", ErrInvalid, typed.Field, typed.Value)
+	}
+	return fmt.Errorf("%w: %v", ErrInvalid, err)
+}
--- /dev/null
+++ b/daemon/gossiper/gossiper.go
@@ -0,0 +1,157 @@
+// Package gossiper keeps the membership of daemons and their upstreams with SWIM-style probes over datagrams.
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellhoist/core/wire"
+)
+
+// States of a member.
+const (
+	Alive   = "alive"
+	Suspect = "suspect"
+	Dead    = "dead"
+	Left    = "left"
+)
+
+// ErrUnconfirmed reports that too few members confirmed a leave.
+var ErrUnconfirmed = errors.New("leave not confirmed by other members")
+
+const (
+	tick            = 200 * time.Millisecond // period of pushes and of the checks of deadlines
+	probeInterval   = time.Second
+	directTimeout   = 400 * time.Millisecond // after it a probe also goes through relays
+	suspicion       = 4 * time.Second
+	syncInterval    = 30 * time.Second // period of exchanges and of retries of dead members
+	exchangeTimeout = 5 * time.Second
+	leaveTimeout    = 5 * time.Second
+	burstInterval   = 100 * time.Millisecond // two daemons with one name refute each other without end; this limits their rate
+
+	// Dead members are kept for longer than any expected partition, since only known members are retried.
+	deadRetention = 24 * time.Hour
+	// Left members are kept until every stale copy of their alive entry has met a failed probe.
+	leftRetention = time.Hour
+
+	relays       = 3
+	pushFanout   = 3
+	burstFanout  = 6
+	leaveFanout  = 8
+	leaveQuorum  = 4
+	inboxLength  = 512
+	accusedLimit = 64 // members told about their accusation in one exchange
+)
+
+// Gossiper keeps the membership. Run owns its control state; the exported methods may be called from any goroutine.
+type Gossiper struct {
+	send     func(netip.AddrPort, []byte) error
+	exchange func(context.Context, netip.AddrPort, wire.Gossip) (wire.Gossip, error)
+	seeds    []netip.AddrPort
+	rand     *rand.Rand
+	log      hclog.Logger
+
+	members atomic.Pointer[[]wire.Member]
+	inbox   chan datagram
+	wake    chan struct{}
+	done    chan struct{}
+
+	mu      sync.Mutex
+	actions []func()
+
+	// The fields below belong to the goroutine of Run.
+	self      *entry
+	table     *table
+	queue     *queue
+	maxHeld   uint64
+	dirty     bool
+	published time.Time
+	lastTick  time.Time
+	nextProbe time.Time
+	nextSync  time.Time
+	lastBurst time.Time
+	seq       uint64
+	probe     *probe
+	order     []string // names still to be probed in this round
+	accused   []string // names probed before the rest of the round
+	relayed   map[uint64]relay
+	syncing   bool
+	synced    bool
+	rejoin    []netip.AddrPort // addresses of members forgotten after a long stall
+	leaving   *leave
+}
+
+type datagram struct {
+	from netip.AddrPort
+	msg  wire.Gossip
+}
+
+// New returns a gossiper that knows only itself.
+func New(opts ...Option) *Gossiper {
+	g := &Gossiper{
+		send: func(netip.AddrPort, []byte) error { return nil },
+		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		log:  hclog.NewNullLogger(),
+
+		inbox: make(chan datagram, inboxLength),
+		wake:  make(chan struct{}, 1),
+		done:  make(chan struct{}),
+
+		self:    &entry{},
+		table:   newTable(),
+		queue:   newQueue(),
+		relayed: map[uint64]relay{},
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	if g.self.Inc == 0 {
+		g.self.Inc = uint64(time.Now().UnixMilli())
+	}
+	g.self.State = Alive
+	g.table.put(g.self)
+	g.publish()
+	return g
+}
+
+// Members returns the known members in order of name, in every state and with the daemon itself. It never changes.
+func (g *Gossiper) Members() []wire.Member {
+	return *g.members.Load()
+}
+
+// Update changes the daemon's own entry. Name, incarnation and state stay as they are.
+func (g *Gossiper) Update(change func(*wire.Member)) {
+	g.do(func() { g.update(change) })
+}
+
+// Deliver takes one datagram. It drops malformed ones, and any while too many wait.
+func (g *Gossiper) Deliver(from netip.AddrPort, data []byte) {
+	msg, err := decode(data)
+	if err != nil {
+		g.log.Debug("dropped datagram", "from", from, "error", err)
+		return
+	}
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	select {
+	case g.inbox <- datagram{from, msg}:
+	default:
+	}
+}
+
+// do queues f for the goroutine of Run.
+func (g *Gossiper) do(f func()) {
+	g.mu.Lock()
+	g.actions = append(g.actions, f)
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/daemon/gossiper/merge.go
@@ -0,0 +1,138 @@
+package gossiper
+
+import (
+	"net/netip"
+	"time"
+
+	"bluebellhoist/core/wire"
+)
+
+// rank orders the states of one incarnation: the higher one wins.
+var rank = map[string]int{Alive: 0, Suspect: 1, Dead: 2, Left: 3}
+
+// verdicts are the known entries that the sender of a message has wrong.
+type verdicts struct {
+	stale   []*entry // the sender's own entry is older than the known one
+	accused []*entry // members alive here and dead at the sender
+}
+
+// merge takes the entries of a message.
+func (g *Gossiper) merge(msg wire.Gossip, now time.Time) verdicts {
+	var v verdicts
+	for _, m := range msg.Members {
+		if !valid(m) {
+			continue
+		}
+		m.Addr = netip.AddrPortFrom(m.Addr.Addr().Unmap(), m.Addr.Port())
+		e, ok := g.table.byName[m.Name]
+		switch {
+		case !ok:
+			g.insert(m, now)
+		case e == g.self:
+			g.refute(m, now)
+		case m.Inc > e.Inc:
+			g.advance(e, m, now, &v)
+		case m.Inc == e.Inc && rank[m.State] > rank[e.State]:
+			g.escalate(e, m, now, &v)
+		case m.Name == msg.From && (m.Inc < e.Inc || m.State != e.State):
+			v.stale = append(v.stale, e)
+		case m.Inc < e.Inc && e.State == Alive && m.State != Alive && !g.queue.has(e.Name):
+			g.queue.add(e.Name) // a refutation has not reached the sender
+		}
+	}
+	return v
+}
+
+// insert adds an unknown member. Dead and left ones were dropped here earlier and must not return.
+func (g *Gossiper) insert(m wire.Member, now time.Time) {
+	if m.State == Dead || m.State == Left {
+		return
+	}
+	g.log.Info("new member", "member", m.Name, "addr", m.Addr, "state", m.State)
+	g.table.put(&entry{Member: m, at: now})
+	g.maxHeld = max(g.maxHeld, m.Held)
+	g.dirty = true
+	g.queue.add(m.Name)
+}
+
+// advance takes an entry with a higher incarnation.
+func (g *Gossiper) advance(e *entry, m wire.Member, now time.Time, v *verdicts) {
+	if m.State == Dead && e.State != Dead {
+		// Another member's verdict on a member that is not suspected here may come from the other side of a partition.
+		m.State = e.State
+		v.accused = append(v.accused, e)
+	}
+	spread := !onlyHeld(e.Member, m) || m.Held > g.maxHeld
+	if m.State != e.State {
+		g.log.Info("member changed state", "member", m.Name, "from", e.State, "to", m.State)
+	}
+	g.store(e, m, now)
+	if spread && m.State != Dead {
+		g.queue.add(m.Name)
+	}
+}
+
+// escalate takes an entry of the same incarnation with a worse state.
+func (g *Gossiper) escalate(e *entry, m wire.Member, now time.Time, v *verdicts) {
+	switch m.State {
+	case Suspect:
+		g.suspect(e, now)
+	case Left:
+		g.store(e, m, now)
+		g.queue.add(m.Name)
+	case Dead:
+		if e.State == Alive {
+			v.accused = append(v.accused, e)
+		}
+	}
+}
+
+// suspect starts the suspicion timer of a member.
+func (g *Gossiper) suspect(e *entry, now time.Time) {
+	if e.State != Alive {
+		return
+	}
+	g.log.Info("member is suspect", "member", e.Name, "addr", e.Addr)
+	m := e.Member
+	m.State = Suspect
+	g.store(e, m, now)
+	g.queue.add(e.Name)
+}
+
+// refute answers an entry about the daemon itself that would win over its own.
+func (g *Gossiper) refute(m wire.Member, now time.Time) {
+	own := g.self.Member
+	if m.Inc < own.Inc {
+		if m.State != Alive && !g.queue.has(own.Name) {
+			g.queue.add(own.Name)
+		}
+		return
+	}
+	if m == own {
+		return
+	}
+	own.Inc = m.Inc + 1
+	g.log.Info("refuted entry", "state", m.State, "inc", own.Inc)
+	g.store(g.self, own, now)
+	g.queue.add(own.Name)
+	g.burst(burstFanout)
+}
+
+// accuse tells members that others hold them dead, so that they refute it, and probes them next in case it is true.
+func (g *Gossiper) accuse(entries []*entry) {
+	g.rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	for _, e := range entries[:min(len(entries), accusedLimit)] {
+		told := *e
+		told.State = Suspect
+		told.size = size(told.Member)
+		g.sendTo(e.Addr, wire.Gossip{Kind: kindPush}, &told)
+		g.accused = append(g.accused, e.Name)
+	}
+}
+
+// onlyHeld reports whether next differs from old only in the held version, which is not worth a push to every member.
+func onlyHeld(old, next wire.Member) bool {
+	changed := old.Held != next.Held
+	old.Held, old.Inc = next.Held, next.Inc
+	return changed && old == next
+}
--- /dev/null
+++ b/daemon/gossiper/network_test.go
@@ -0,0 +1,205 @@
+package gossiper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/gossiper"
+)
+
+// network connects gossipers in memory with delay, loss, doubling and partitions.
+type network struct {
+	t     testing.TB
+	seed  uint64
+	loss  float64
+	mu    sync.Mutex
+	nodes map[netip.AddrPort]*node
+	cut   func(a, b *node) bool
+}
+
+type node struct {
+	*gossiper.Gossiper
+	name          string
+	index         int
+	addr          netip.AddrPort
+	cancel        context.CancelFunc
+	ended         chan error
+	frozen        chan struct{} // closed when the node runs; guarded by network.mu
+	datagrams     int
+	bytes, synced int // sent bytes in datagrams and in exchanges
+}
+
+func newNetwork(t testing.TB, seed uint64, loss float64) *network {
+	return &network{t: t, seed: seed, loss: loss, nodes: map[netip.AddrPort]*node{}, cut: func(_, _ *node) bool { return false }}
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7001)
+}
+
+// start runs node i; the first three addresses are the seeds.
+func (n *network) start(i int, inc uint64) *node {
+	x := &node{name: fmt.Sprintf("node-%04d", i), index: i, addr: address(i), ended: make(chan error, 1), frozen: make(chan struct{})}
+	close(x.frozen)
+	r := rand.New(rand.NewPCG(n.seed, uint64(i)))
+	x.Gossiper = gossiper.New(
+		gossiper.WithSelf(wire.Member{Name: x.name, Domain: "suseong", Addr: x.addr, Service: "payout", Slots: 20, Ready: true, Inc: inc}),
+		gossiper.WithSeeds([]netip.AddrPort{address(0), address(1), address(2)}),
+		gossiper.WithRand(rand.New(rand.NewPCG(n.seed, uint64(i)+1<<32))),
+		gossiper.WithSend(func(to netip.AddrPort, data []byte) error { return n.send(x, r, to, data) }),
+		gossiper.WithExchange(func(ctx context.Context, to netip.AddrPort, msg wire.Gossip) (wire.Gossip, error) {
+			return n.exchange(ctx, x, to, msg)
+		}))
+	var ctx context.Context
+	ctx, x.cancel = context.WithCancel(context.Background())
+	n.mu.Lock()
+	n.nodes[x.addr] = x
+	n.mu.Unlock()
+	go func() { x.ended <- x.Run(ctx) }()
+	return x
+}
+
+func (n *network) kill(x *node) {
+	n.mu.Lock()
+	delete(n.nodes, x.addr)
+	n.mu.Unlock()
+	x.cancel()
+	<-x.ended
+}
+
+func (n *network) stop() {
+	for _, x := range n.nodes {
+		n.kill(x)
+	}
+}
+
+func (n *network) route(x *node, to netip.AddrPort) *node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	y := n.nodes[to]
+	if y == nil || n.cut(x, y) {
+		return nil
+	}
+	return y
+}
+
+func (n *network) thawed(x *node) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return x.frozen
+}
+
+// send runs on the goroutine of x, so that its random source needs no lock.
+func (n *network) send(x *node, r *rand.Rand, to netip.AddrPort, data []byte) error {
+	<-n.thawed(x)
+	x.datagrams++
+	x.bytes += len(data)
+	if len(data) > gossiper.MaxDatagram {
+		n.t.Errorf("datagram of %d bytes", len(data))
+	}
+	copies := 1
+	if r.Float64() < n.loss {
+		copies = 0
+	} else if r.Float64() < n.loss/4 {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Millisecond + time.Duration(r.IntN(2_000_000))
+		if r.Float64() < n.loss/4 {
+			delay += time.Duration(r.IntN(2_000_000_000)) // delayed and reordered
+		}
+		time.AfterFunc(delay, func() {
+			if y := n.route(x, to); y != nil {
+				<-n.thawed(y)
+				y.Deliver(x.addr, data)
+			}
+		})
+	}
+	return nil
+}
+
+func (n *network) exchange(ctx context.Context, x *node, to netip.AddrPort, msg wire.Gossip) (wire.Gossip, error) {
+	select {
+	case <-time.After(3 * time.Millisecond):
+	case <-ctx.Done():
+	}
+	y := n.route(x, to)
+	if y == nil || ctx.Err() != nil {
+		return wire.Gossip{}, errors.New("unreachable")
+	}
+	answer := y.Answer(msg)
+	n.mu.Lock()
+	x.synced += encodedSize(msg)
+	y.synced += encodedSize(answer)
+	n.mu.Unlock()
+	return answer, nil
+}
+
+func encodedSize(msg wire.Gossip) int {
+	data, err := encoder.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	return len(data)
+}
+
+// until waits in fake time until cond holds on every node and returns how long it took.
+func (n *network) until(limit time.Duration, what string, cond func(*node) bool) time.Duration {
+	n.t.Helper()
+	start := time.Now()
+	for {
+		synctest.Wait()
+		missing := ""
+		for _, x := range n.nodes {
+			if !cond(x) {
+				missing = x.name
+				break
+			}
+		}
+		if missing == "" {
+			return time.Since(start)
+		}
+		if time.Since(start) >= limit {
+			n.t.Fatalf("after %s %s does not hold at %s", limit, what, missing)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (n *network) startAll(count int) []*node {
+	var nodes []*node
+	for i := range count {
+		nodes = append(nodes, n.start(i, 0))
+	}
+	took := n.until(2*time.Minute, "all alive", func(x *node) bool { return count == alive(x, n) })
+	n.t.Logf("%d members joined in %s", count, took)
+	return nodes
+}
+
+func alive(x *node, _ *network) int {
+	count := 0
+	for _, m := range x.Members() {
+		if m.State == gossiper.Alive {
+			count++
+		}
+	}
+	return count
+}
+
+func lookup(x *node, name string) wire.Member {
+	for _, m := range x.Members() {
+		if m.Name == name {
+			return m
+		}
+	}
+	return wire.Member{}
+}
--- /dev/null
+++ b/daemon/gossiper/run.go
@@ -0,0 +1,229 @@
+package gossiper
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"bluebellhoist/core/wire"
+)
+
+// Run probes, spreads and answers until ctx ends.
+func (g *Gossiper) Run(ctx context.Context) error {
+	defer close(g.done)
+	ctx, cancel := context.WithCancel(ctx)
+	exchanges := make(chan struct{}, 1)
+	defer func() {
+		cancel()
+		if g.syncing {
+			<-exchanges
+		}
+	}()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	now := time.Now()
+	g.lastTick, g.nextProbe = now, now.Add(g.jitter(probeInterval))
+	g.nextSync = now.Add(g.jitter(syncInterval))
+	g.join(ctx, exchanges)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case d := <-g.inbox:
+			g.receive(d)
+		case <-g.wake:
+		case <-exchanges:
+			g.syncing = false
+		case <-ticker.C:
+			g.onTick(ctx, time.Now(), exchanges)
+		}
+		g.runActions()
+		if g.dirty && time.Since(g.published) >= tick/4 {
+			g.publish()
+		}
+	}
+}
+
+func (g *Gossiper) runActions() {
+	g.mu.Lock()
+	actions := g.actions
+	g.actions = nil
+	g.mu.Unlock()
+	for _, f := range actions {
+		f()
+	}
+}
+
+func (g *Gossiper) onTick(ctx context.Context, now time.Time, exchanges chan<- struct{}) {
+	g.resume(now)
+	g.checkProbe(now)
+	g.expire(now)
+	if now.Compare(g.nextProbe) >= 0 {
+		g.nextProbe = now.Add(probeInterval)
+		g.endProbe(now)
+		g.startProbe(now)
+		if !g.synced || len(g.peers(1, nil)) == 0 {
+			g.join(ctx, exchanges)
+		}
+	}
+	if now.Compare(g.nextSync) >= 0 {
+		g.nextSync = now.Add(syncInterval)
+		g.retry()
+		g.startExchange(ctx, g.partner(), exchanges)
+	}
+	g.announceLeave()
+	g.push(pushFanout)
+}
+
+// resume keeps a process that was frozen from blaming the others for its own silence.
+func (g *Gossiper) resume(now time.Time) {
+	gap := now.Sub(g.lastTick)
+	g.lastTick = now
+	if gap < probeInterval {
+		return
+	}
+	g.log.Warn("control loop stalled", "gap", gap)
+	g.probe = nil
+	for _, e := range g.table.list {
+		if e.State == Suspect {
+			e.at = e.at.Add(gap)
+		}
+	}
+	if gap < leftRetention/2 {
+		return
+	}
+	// The others may have dropped members that this table still shows as alive.
+	for _, e := range g.table.list {
+		if e != g.self {
+			g.rejoin = append(g.rejoin, e.Addr)
+		}
+	}
+	g.table.remove(func(e *entry) bool { return e != g.self })
+	g.dirty, g.synced = true, false
+}
+
+// expire turns overdue suspects dead and drops old entries.
+//
+// Each member runs its own suspicion timer, since suspicions reach all members within a second or two. A dead entry is
+// therefore not pushed.
+func (g *Gossiper) expire(now time.Time) {
+	old := false
+	for _, e := range g.table.list {
+		age := now.Sub(e.at)
+		switch {
+		case e == g.self:
+		case e.State == Suspect && age >= suspicion:
+			g.log.Info("member is dead", "member", e.Name, "addr", e.Addr)
+			m := e.Member
+			m.State = Dead
+			g.store(e, m, now)
+			g.queue.drop(e.Name)
+		case e.State == Dead && age >= deadRetention, e.State == Left && age >= leftRetention:
+			old = true
+		}
+	}
+	if !old {
+		return
+	}
+	g.table.remove(func(e *entry) bool {
+		age := now.Sub(e.at)
+		return e != g.self && (e.State == Dead && age >= deadRetention || e.State == Left && age >= leftRetention)
+	})
+	g.dirty = true
+}
+
+// update applies a change of the own entry and spreads it.
+func (g *Gossiper) update(change func(*wire.Member)) {
+	m := g.self.Member
+	change(&m)
+	m.Name, m.Inc, m.State = g.self.Name, g.self.Inc, g.self.State
+	if m == g.self.Member {
+		return
+	}
+	quiet := onlyHeld(g.self.Member, m)
+	m.Inc++
+	g.store(g.self, m, time.Now())
+	g.publish()
+	if quiet {
+		g.burst(pushFanout)
+		return
+	}
+	g.queue.add(m.Name)
+	g.burst(burstFanout)
+}
+
+// store replaces an entry.
+func (g *Gossiper) store(e *entry, m wire.Member, now time.Time) {
+	e.set(m, now)
+	g.maxHeld = max(g.maxHeld, m.Held)
+	g.dirty = true
+}
+
+func (g *Gossiper) publish() {
+	members := g.table.members()
+	g.members.Store(&members)
+	g.published = time.Now()
+	g.dirty = false
+}
+
+// burst sends the own entry and queued updates at once. Within burstInterval of the last burst the next tick does it.
+func (g *Gossiper) burst(fanout int) {
+	now := time.Now()
+	if now.Sub(g.lastBurst) < burstInterval {
+		return
+	}
+	g.lastBurst = now
+	for _, e := range g.peers(fanout, nil) {
+		g.sendTo(e.Addr, wire.Gossip{Kind: kindPush}, g.self)
+	}
+}
+
+// push sends queued updates to random members.
+func (g *Gossiper) push(fanout int) {
+	if len(g.queue.items) == 0 {
+		return
+	}
+	for _, e := range g.peers(fanout, nil) {
+		g.sendTo(e.Addr, wire.Gossip{Kind: kindPush})
+	}
+}
+
+// sendTo sends a message with the given entries and as many queued updates as fit.
+func (g *Gossiper) sendTo(to netip.AddrPort, msg wire.Gossip, first ...*entry) {
+	if msg.From == "" {
+		msg.From = g.self.Name
+	}
+	room := MaxDatagram - sumSize - arrayHeader - size(msg)
+	msg.Members = g.queue.take(g.table, room, sendLimit(len(g.table.list)), first...)
+	if msg.Kind == kindPush && len(msg.Members) == 0 {
+		return
+	}
+	data, err := encode(msg)
+	if err != nil {
+		g.log.Error("cannot encode datagram", "to", to, "error", err)
+		return
+	}
+	if err := g.send(to, data); err != nil {
+		g.log.Debug("cannot send datagram", "to", to, "error", err)
+	}
+}
+
+// peers returns up to n random reachable members other than the daemon itself for which keep holds.
+func (g *Gossiper) peers(n int, keep func(*entry) bool) []*entry {
+	var found []*entry
+	for _, e := range g.table.list {
+		if e != g.self && e.reachable() && (keep == nil || keep(e)) {
+			found = append(found, e)
+		}
+	}
+	n = min(n, len(found))
+	for i := range n {
+		j := i + g.rand.IntN(len(found)-i)
+		found[i], found[j] = found[j], found[i]
+	}
+	return found[:n]
+}
+
+func (g *Gossiper) jitter(d time.Duration) time.Duration {
+	return time.Duration(g.rand.Int64N(int64(d)))
+}
