Add limiter and router

Cause: calls had neither admission in front of the local upstream nor a choice of member. Change: limiter with weighted class queues, deadline shedding, adaptive limit and drain; router with power of two choices, locality, slow start and ejection. Unobserved members score 0.75 of the service's latency: at 1.0 a second remote member got 0 of 300 sequential calls, because the service average stayed just above the first member's latency.

--- /dev/null
+++ b/daemon/limiter/acquire.go
@@ -0,0 +1,196 @@
+package limiter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+)
+
+// call is an admitted call.
+type call struct {
+	limiter *Limiter
+	class   string
+	seq     uint64
+	start   time.Time
+	ended   atomic.Bool
+}
+
+// Acquire returns when the call of the given class may be sent to the upstream, or an error if it was not admitted.
+// The caller must call done once the call has ended; further calls of done have no effect. Unknown classes are normal.
+func (l *Limiter) Acquire(ctx context.Context, class string) (done func(Outcome), err error) {
+	arrival := l.now()
+	c, err := l.acquire(ctx, class, arrival)
+	if err != nil {
+		if l.hooks.Refused != nil {
+			l.hooks.Refused(class, err)
+		}
+		return nil, err
+	}
+	if l.hooks.Admitted != nil {
+		l.hooks.Admitted(class, c.start.Sub(arrival))
+	}
+	return c.done, nil
+}
+
+func (l *Limiter) acquire(ctx context.Context, class string, now time.Time) (*call, error) {
+	if ctx.Err() != nil {
+		return nil, gone(ctx)
+	}
+	w := &waiter{rank: rank(class)}
+	w.deadline, _ = ctx.Deadline()
+
+	l.mu.Lock()
+	if err := l.admit(w, now); err != nil {
+		l.mu.Unlock()
+		return nil, err
+	}
+	seq := w.seq
+	if w.queued {
+		w.ready = make(chan struct{})
+	}
+	l.mu.Unlock()
+
+	if w.ready == nil {
+		return &call{limiter: l, class: class, seq: seq, start: now}, nil
+	}
+	if err := l.wait(ctx, w); err != nil {
+		return nil, err
+	}
+	return &call{limiter: l, class: class, seq: w.seq, start: l.now()}, nil
+}
+
+// admit grants a slot to w, queues it or refuses it. The lock must be held.
+func (l *Limiter) admit(w *waiter, now time.Time) error {
+	switch {
+	case l.draining:
+		return ErrDraining
+	case l.capacity.slots == 0:
+		return ErrNoUpstream
+	case l.schedule.length == 0 && l.progress < l.capacity.current():
+		l.grant(w, now)
+		l.load.Add(1)
+		return nil
+	case l.schedule.queues[w.rank].length >= l.queue:
+		return fmt.Errorf("%w: %d calls of class %s", ErrFull, l.queue, classes[w.rank].name)
+	}
+	if wait := l.estimate(w.rank, now); !w.deadline.IsZero() && !now.Add(wait).Before(w.deadline) {
+		return fmt.Errorf("%w: estimated wait %v, time left %v", ErrDeadline, wait, w.deadline.Sub(now))
+	}
+	l.schedule.push(w)
+	l.load.Add(1)
+	return nil
+}
+
+// estimate returns how long a new call of the given class would wait. The lock must be held.
+func (l *Limiter) estimate(rank int, now time.Time) time.Duration {
+	// All calls in progress have lasted since the last change, so a frozen upstream counts before any call has ended.
+	hold := max(l.capacity.hold, now.Sub(l.changed))
+	return time.Duration(l.schedule.ahead(rank)) * hold / time.Duration(max(l.capacity.current(), 1))
+}
+
+// wait returns when w was granted or refused, or when ctx ends.
+func (l *Limiter) wait(ctx context.Context, w *waiter) error {
+	select {
+	case <-w.ready:
+		return w.err
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case w.queued:
+		l.schedule.remove(w)
+		l.leave()
+	case w.err == nil:
+		// Granted at the same moment: the slot goes to the next call.
+		l.release(l.now())
+	}
+	return gone(ctx)
+}
+
+// grant gives a slot to w. The lock must be held.
+func (l *Limiter) grant(w *waiter, now time.Time) {
+	l.progress++
+	l.capacity.grants++
+	w.seq = l.capacity.grants
+	l.changed = now
+	if w.ready != nil {
+		close(w.ready)
+	}
+}
+
+// dispatch grants free slots to queued calls and refuses those whose deadline has passed. The lock must be held.
+func (l *Limiter) dispatch(now time.Time) {
+	for l.schedule.length > 0 && l.progress < l.capacity.current() {
+		w := l.schedule.first()
+		if !w.deadline.IsZero() && !now.Before(w.deadline) {
+			l.drop(w, ErrDeadline)
+			continue
+		}
+		l.schedule.serve(w)
+		l.grant(w, now)
+	}
+}
+
+// refuse ends the wait of all queued calls. The lock must be held.
+func (l *Limiter) refuse(err error) {
+	for l.schedule.length > 0 {
+		l.drop(l.schedule.first(), err)
+	}
+}
+
+// drop refuses one queued call. The lock must be held.
+func (l *Limiter) drop(w *waiter, err error) {
+	l.schedule.remove(w)
+	w.err = err
+	close(w.ready)
+	l.leave()
+}
+
+// release returns a slot. The lock must be held.
+func (l *Limiter) release(now time.Time) {
+	l.progress--
+	l.changed = now
+	l.dispatch(now)
+	l.leave()
+}
+
+// leave counts a call out and wakes Drain after the last one. The lock must be held.
+func (l *Limiter) leave() {
+	if l.load.Add(-1) == 0 && l.idle != nil {
+		close(l.idle)
+		l.idle = nil
+	}
+}
+
+func (c *call) done(outcome Outcome) {
+	if c.ended.Swap(true) {
+		return
+	}
+	l := c.limiter
+	now := l.now()
+	held := now.Sub(c.start)
+
+	l.mu.Lock()
+	lowered := l.capacity.observe(c.seq, held, outcome, l.progress)
+	l.release(now)
+	limit := l.capacity.current()
+	l.mu.Unlock()
+
+	if lowered && l.hooks.Limited != nil {
+		l.hooks.Limited(limit)
+	}
+	if l.hooks.Ended != nil {
+		l.hooks.Ended(c.class, held, outcome)
+	}
+}
+
+// gone returns the error for a call whose context has ended.
+func gone(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fmt.Errorf("%w: %w", ErrDeadline, ctx.Err())
+	}
+	return fmt.Errorf("%w: %w", ErrCanceled, ctx.Err())
+}
--- /dev/null
+++ b/daemon/router/stats.go
@@ -0,0 +1,286 @@
+package router
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Kind tells how a call ended.
+type Kind uint8
+
+const (
+	// OK means that the member answered.
+	OK Kind = iota
+	// Failed means that the call failed after it was sent, for example by a time-out or a broken connection.
+	Failed
+	// Rejected means that the member refused the call as not run.
+	Rejected
+	// Unreachable means that the connect failed.
+	Unreachable
+	// Canceled means that the caller went away before the call ended.
+	Canceled
+)
+
+// Outcome is the result of a call.
+type Outcome struct {
+	Kind Kind
+	// Latency is the time from the pick to the end of the call.
+	Latency time.Duration
+	// Load is the load that the member reported with an OK or Rejected answer, negative if it did not.
+	Load int
+}
+
+const (
+	slowStart = 10 * time.Second
+
+	// ejectAfter is the number of consecutive failures that eject a member.
+	ejectAfter   = 5
+	ejectFirst   = 5 * time.Second
+	ejectLongest = time.Minute
+
+	// forget is the time constant with which old latencies, failures and reports lose their weight.
+	forget       = 10 * time.Second
+	forgetLoad   = time.Second
+	rejectWindow = time.Second
+
+	// minWeight is the least weight of one latency, so that calls which end at the same moment all count.
+	minWeight = 0.05
+	// unknown is the latency of a member without observations relative to that of the service. It is below 1 so that
+	// such a member is tried soon; its calls in progress keep it from being flooded.
+	unknown = 0.75
+	// maxReport bounds a reported load, in multiples of the slots, so that a wrong report does not exclude a member.
+	maxReport = 4
+	// maxAge bounds the age of calls in progress, in multiples of the latency, so that one long call does not send all
+	// others elsewhere.
+	maxAge = 8
+
+	suspectPenalty = 2
+	// rejectPenalty is the score factor for each consecutive rejection, up to maxRejections. Rejections are quick, so
+	// a member whose upstream is gone would otherwise look fast.
+	rejectPenalty = 4
+	maxRejections = 8
+	// failurePenalty is added to the score factor for each consecutive failure and is gone after ejectFirst. Without it
+	// a member that fails quickly would look idle.
+	failurePenalty = 1
+	ejectedPenalty = 16
+
+	// busy is the share of slots in use from which calls may queue at a member.
+	busy = 0.75
+	// idleSpill and busySpill are the ratios of scores at which another failure domain is used: early if calls queue
+	// here, late if the member has free slots and is only slower.
+	idleSpill = 8
+	busySpill = 2
+)
+
+// latency is a moving average in which old values fade with time.
+type latency struct {
+	mu   sync.Mutex
+	mean float64
+	last time.Time
+}
+
+func (l *latency) observe(d time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.last.IsZero() {
+		l.mean = float64(d)
+	} else {
+		weight := max(minWeight, 1-fade(now.Sub(l.last), forget))
+		l.mean += weight * (float64(d) - l.mean)
+	}
+	l.last = now
+}
+
+// value returns the average, or zero before the first observation.
+func (l *latency) value() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.mean)
+}
+
+// stats are the observations about one member process.
+type stats struct {
+	seen  time.Time    // when this router first saw it
+	until atomic.Int64 // end of the ejection, in nanoseconds since the Unix epoch
+	fails atomic.Int32 // consecutive failures
+
+	mu         sync.Mutex
+	inflight   int
+	starts     int64 // sum of the start times of calls in progress, in nanoseconds since seen
+	mean       float64
+	observed   time.Time // zero if never
+	load       int       // reported, without the own calls
+	reported   time.Time
+	rejected   time.Time
+	rejections int // consecutive
+	failed     time.Time
+	ejections  int
+	latestBack time.Time // end of the last ejection
+}
+
+func (s *stats) begin(now time.Time) {
+	s.mu.Lock()
+	s.inflight++
+	s.starts += int64(now.Sub(s.seen))
+	s.mu.Unlock()
+}
+
+// end records the outcome of a call and reports whether the member should be ejected.
+func (s *stats) end(o Outcome, start, now time.Time, typical time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.Load >= 0 && (o.Kind == OK || o.Kind == Rejected) {
+		// The member counts the own calls too, and these are known exactly.
+		s.load, s.reported = max(0, o.Load-s.inflight), now
+	}
+	s.inflight--
+	s.starts -= int64(start.Sub(s.seen))
+	switch o.Kind {
+	case OK:
+		s.fails.Store(0)
+		s.rejections = 0
+		s.observe(o.Latency, now, typical)
+	case Rejected:
+		s.fails.Store(0)
+		s.rejected = now
+		s.rejections++
+	case Canceled:
+		s.slower(o.Latency, now, typical)
+		if s.failing() {
+			s.failed = now // The next trial waits again.
+		}
+	case Failed:
+		s.failed = now
+		s.slower(o.Latency, now, typical)
+		return s.fails.Add(1) >= ejectAfter
+	case Unreachable:
+		s.failed = now
+		s.fails.Store(max(s.fails.Load()+1, ejectAfter))
+		return true
+	}
+	return false
+}
+
+// observe adds a latency. The first one is averaged with that of the service, since a single call may be an outlier.
+func (s *stats) observe(d time.Duration, now time.Time, typical time.Duration) {
+	if s.observed.IsZero() {
+		s.mean = (float64(d) + float64(typical)) / 2
+	} else {
+		weight := max(minWeight, 1-fade(now.Sub(s.observed), forget))
+		s.mean += weight * (float64(d) - s.mean)
+	}
+	s.observed = now
+}
+
+// slower adds the latency of a call without an answer, which may raise the average but not lower it.
+func (s *stats) slower(d time.Duration, now time.Time, typical time.Duration) {
+	if float64(d) > s.latency(now, typical) {
+		s.observe(d, now, typical)
+	}
+}
+
+// latency returns the expected latency. Without recent observations it approaches that of the service, so that a
+// member which was slow is tried again.
+func (s *stats) latency(now time.Time, typical time.Duration) float64 {
+	usual := max(float64(typical), 1)
+	if s.observed.IsZero() {
+		return unknown * usual
+	}
+	return max(1, usual+(s.mean-usual)*fade(now.Sub(s.observed), forget))
+}
+
+// others returns the load from other daemons that the member last reported, which fades.
+func (s *stats) others(slots float64, now time.Time) float64 {
+	return min(float64(s.load), maxReport*slots) * fade(now.Sub(s.reported), forgetLoad)
+}
+
+// score returns the expected cost of one more call; lower is better. A member on trial is chosen before all others.
+func (s *stats) score(c *candidate, now time.Time, typical time.Duration) float64 {
+	slots := c.slots()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.trial(now) {
+		return 0
+	}
+	expected := s.latency(now, typical)
+	if s.inflight > 0 {
+		// Calls without an answer tell about a frozen member before any of them has ended.
+		age := float64(now.Sub(s.seen)) - float64(s.starts)/float64(s.inflight)
+		expected = max(expected, min(age, maxAge*expected))
+	}
+	score := (float64(s.inflight) + s.others(slots, now) + 1) / slots * expected
+	if fails := s.fails.Load(); fails > 0 {
+		rest := max(0, 1-float64(now.Sub(s.failed))/float64(ejectFirst))
+		score *= 1 + failurePenalty*float64(min(fails, 2*ejectAfter))*rest
+	}
+	if s.rejecting(now) {
+		score *= rejectPenalty * float64(min(s.rejections, maxRejections))
+	}
+	if c.member.State == "suspect" {
+		score *= suspectPenalty
+	}
+	return score
+}
+
+// utilisation returns the share of the slots in use, which is above 1 if calls queue.
+func (s *stats) utilisation(c *candidate, now time.Time) float64 {
+	slots := c.slots()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return (float64(s.inflight) + s.others(slots, now)) / slots
+}
+
+// rejects reports whether the member rejected a call lately.
+func (s *stats) rejects(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejecting(now)
+}
+
+func (s *stats) rejecting(now time.Time) bool {
+	return !s.rejected.IsZero() && now.Sub(s.rejected) < rejectWindow
+}
+
+// trial reports whether the next call should test whether a failing member works again. Only one call at a time does.
+func (s *stats) trial(now time.Time) bool {
+	return s.failing() && s.inflight == 0 && now.Sub(s.failed) >= ejectFirst
+}
+
+// failing reports whether the member failed too often and no call has succeeded since.
+func (s *stats) failing() bool {
+	return s.fails.Load() >= ejectAfter
+}
+
+func (s *stats) ejected(now time.Time) bool {
+	return now.UnixNano() < s.until.Load()
+}
+
+// eject takes the member out and returns for how long. The time doubles unless the member held out for a while since
+// the last time. Calls that were under way when the member was ejected don't prolong it.
+func (s *stats) eject(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ejected(now) {
+		return 0
+	}
+	if now.Sub(s.latestBack) > ejectLongest {
+		s.ejections = 0
+	}
+	duration := min(ejectFirst<<min(s.ejections, 10), ejectLongest)
+	s.ejections++
+	s.latestBack = now.Add(duration)
+	s.until.Store(s.latestBack.UnixNano())
+	return duration
+}
+
+// slots returns the number of calls the member takes at once.
+func (c *candidate) slots() float64 {
+	return float64(max(c.member.Slots, 1))
+}
+
+// fade returns the weight that remains after a time.
+func fade(age, constant time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(constant))
+}
