--- a/daemon/limiter/acquire.go
+++ b/daemon/limiter/acquire.go
@@ -75,6 +75,7 @@
 	case l.schedule.queues[w.rank].length >= l.queue:
 		return fmt.Errorf("%w: %d calls of class %s", ErrFull, l.queue, classes[w.rank].name)
 	}
+	l.schedule.arrive(w.rank)
 	if wait := l.estimate(w.rank, now); !w.deadline.IsZero() && !now.Add(wait).Before(w.deadline) {
 		return fmt.Errorf("%w: estimated wait %v, time left %v", ErrDeadline, wait, w.deadline.Sub(now))
 	}
@@ -113,8 +114,7 @@
 // grant gives a slot to w. The lock must be held.
 func (l *Limiter) grant(w *waiter, now time.Time) {
 	l.progress++
-	l.capacity.grants++
-	w.seq = l.capacity.grants
+	w.seq = l.capacity.grant(l.progress)
 	l.changed = now
 	if w.ready != nil {
 		close(w.ready)
--- a/daemon/limiter/capacity.go
+++ b/daemon/limiter/capacity.go
@@ -34,12 +34,21 @@
 	grants   uint64 // number of calls granted
 	epoch    uint64 // last call granted before the last decrease
 	birth    uint64 // last call granted before the last cold start
+	round    uint64 // last call granted before the present round trip
+	peak     int    // most calls in progress during the present round trip
 }
 
 func (c *capacity) current() int {
 	return int(c.limit)
 }
 
+// grant counts a granted call and returns its number. busy is the number of calls in progress, with this one.
+func (c *capacity) grant(busy int) uint64 {
+	c.grants++
+	c.peak = max(c.peak, busy)
+	return c.grants
+}
+
 // start begins a slow start. What was learned about an earlier upstream process no longer holds.
 func (c *capacity) start(slots int) {
 	c.slots = slots
@@ -64,10 +73,13 @@
 	if seq <= c.birth || c.slots == 0 {
 		return false
 	}
+	if seq > c.round {
+		c.round, c.peak = c.grants, busy
+	}
 	switch outcome {
 	case OK:
 		c.sample(held)
-		c.raise(busy)
+		c.raise()
 	case Overloaded:
 		return c.lower(seq)
 	case TimedOut:
@@ -91,10 +103,10 @@
 	c.hold += time.Duration(smoothing * float64(held-c.hold))
 }
 
-// raise adds one call per round trip, and doubles the limit per round trip in slow start. A limit that is not in use
-// was not tested, so it stays.
-func (c *capacity) raise(busy int) {
-	if 2*busy < c.current() {
+// raise adds one call per round trip, and doubles the limit per round trip in slow start. A limit of which less than
+// half is in use was not tested, so it stays.
+func (c *capacity) raise() {
+	if 2*c.peak < c.current() {
 		return
 	}
 	step := 1 / c.limit
--- a/daemon/limiter/schedule.go
+++ b/daemon/limiter/schedule.go
@@ -41,6 +41,7 @@
 	length     int
 	begin      uint64 // virtual time from which the first call is scheduled
 	finish     uint64 // virtual finish time of the last call served
+	unserved   bool   // calls arrived since then
 }
 
 // schedule holds the queues of all classes.
@@ -50,10 +51,26 @@
 	clock  uint64 // virtual time
 }
 
+// arrive notes that a call of a class wants service, whether or not it is then queued. A class without waiting calls
+// begins at the present virtual time. If its last callers were refused or gave up, it keeps up to one call of the service
+// that it missed. Otherwise a class whose callers wait less than its turn takes would starve.
+func (s *schedule) arrive(rank int) {
+	q := &s.queues[rank]
+	if q.length > 0 {
+		return
+	}
+	if q.unserved {
+		q.begin = max(q.begin, s.clock-min(s.clock, classes[rank].stride))
+		return
+	}
+	q.begin = max(q.finish, s.clock)
+	q.unserved = true
+}
+
+// push queues a call whose class has arrived.
 func (s *schedule) push(w *waiter) {
 	q := &s.queues[w.rank]
 	if q.length == 0 {
-		q.begin = max(q.finish, s.clock)
 		q.head = w
 	} else {
 		w.prev = q.tail
@@ -107,18 +124,25 @@
 	q.begin = q.finish
 	s.clock = q.finish
 	s.remove(w)
+	q.unserved = q.length > 0
 }
 
-// ahead returns how many calls are served before and including a new one of the given class, if no others arrive.
+// ahead returns how many calls are served up to and including a new one of the given class, if no others arrive. The
+// class must have arrived.
 func (s *schedule) ahead(rank int) int {
-	own := s.queues[rank].length + 1
-	total := own
+	own := &s.queues[rank]
+	total := own.length + 1
+	finish := own.begin + uint64(total)*classes[rank].stride
 	for i := range s.queues {
-		if i == rank {
+		q := &s.queues[i]
+		if i == rank || q.length == 0 || q.begin >= finish {
 			continue
 		}
-		share := (uint64(own)*classes[rank].stride + classes[i].stride - 1) / classes[i].stride
-		total += min(s.queues[i].length, int(share))
+		span := finish - q.begin
+		if i > rank {
+			span-- // The higher class is served first at equal times.
+		}
+		total += min(q.length, int(span/classes[i].stride))
 	}
 	return total
 }
