--- /dev/null
+++ b/daemon/forwarder/header.go
@@ -0,0 +1,79 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+)
+
+// Headers between daemons, and between daemons and their callers and upstreams.
+const (
+	HeaderOutcome  = "Bluebell-Outcome"
+	HeaderDeadline = "Bluebell-Deadline"
+	HeaderClass    = "Bluebell-Class"
+	HeaderDepth    = "Bluebell-Depth"
+	HeaderAttempt  = "Bluebell-Attempt"
+	HeaderBatch    = "Bluebell-Batch"
+	HeaderOnce     = "Bluebell-Once"
+	HeaderLoad     = "Bluebell-Load"
+	HeaderReplayed = "Bluebell-Replayed"
+	HeaderKey      = "Idempotency-Key"
+)
+
+const headerPrefix = "Bluebell-"
+
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// removeHopByHop removes the headers that concern one connection only. Accepting trailers is announced again, since
+// trailers are passed on.
+func removeHopByHop(h http.Header) {
+	trailers := slices.ContainsFunc(h["Te"], func(line string) bool {
+		return strings.Contains(strings.ToLower(line), "trailers")
+	})
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	if trailers {
+		h.Set("Te", "trailers")
+	}
+}
+
+// removeOurs removes the headers that only daemons may set.
+func removeOurs(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// requestHeader returns the header for the next hop.
+func requestHeader(r *http.Request) http.Header {
+	h := r.Header.Clone()
+	removeHopByHop(h)
+	h.Del("Expect")
+	h.Del("Content-Length")
+	if _, ok := h["User-Agent"]; !ok {
+		h.Set("User-Agent", "") // keeps net/http from adding its own
+	}
+	return h
+}
+
+// appendForwarded adds the caller's address to X-Forwarded-For.
+func appendForwarded(h http.Header, remote string) {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return
+	}
+	h.Set("X-Forwarded-For", strings.Join(append(h["X-Forwarded-For"], host), ", "))
+}
--- /dev/null
+++ b/daemon/forwarder/peer.go
@@ -0,0 +1,62 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// maxStreams is the number of calls that another daemon may have in progress on one connection. It exceeds the slots
+// and the queue of a member, so that calls are refused by its limiter and not held back by HTTP/2.
+const maxStreams = 4096
+
+// newPeerTransport returns the transport to other daemons: HTTP/2 without TLS, with pings that find silent connections.
+func (f *Forwarder) newPeerTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:        f.dialContext,
+		Protocols:          unencryptedHTTP2(),
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingTimeout, PingTimeout: pingTimeout},
+		DisableCompression: true,
+		// Pings on idle connections count as control bytes, so idle connections do not stay for long.
+		IdleConnTimeout: idleTimeout,
+	}
+}
+
+func (f *Forwarder) dialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("address %q: %w", address, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return f.dial(ctx, addr)
+}
+
+func unencryptedHTTP2() *http.Protocols {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
+// NewPeerServer returns a server for other daemons. It also takes HTTP/1.1, for exchanges of gossip.
+func NewPeerServer(handler http.Handler) *http.Server {
+	protocols := unencryptedHTTP2()
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:   handler,
+		Protocols: protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, SendPingTimeout: pingTimeout, PingTimeout: pingTimeout,
+		},
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       2 * idleTimeout, // longer than the client's, so that the client closes first
+	}
+}
+
+// NewCallServer returns a server for callers.
+func NewCallServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute}
+}
