--- /dev/null
+++ b/daemon/forwarder/egress_test.go
@@ -0,0 +1,354 @@
+package forwarder_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bluebellhoist/daemon/forwarder"
+)
+
+// TestEgressRefuses guards against sending calls that the configuration, the chain of calls or the key forbids.
+func TestEgressRefuses(t *testing.T) {
+	const key = forwarder.HeaderKey
+	cases := []struct {
+		name, service string
+		header        []string
+		status        int
+		outcome       string
+	}{
+		{"unknown service", "nobody", nil, 404, "not-run"},
+		{"lapsed", "lapsed", nil, 410, "not-run"},
+		{"no configuration", "none", nil, 503, "not-run"},
+		{"too deep", "stock", []string{forwarder.HeaderDepth, "16"}, 508, "not-run"},
+		{"bad depth", "stock", []string{forwarder.HeaderDepth, "-1"}, 400, "not-run"},
+		{"bad class", "stock", []string{forwarder.HeaderClass, "fast"}, 400, "not-run"},
+		{"bad deadline", "stock", []string{forwarder.HeaderDeadline, "soon"}, 400, "not-run"},
+		{"deadline passed", "stock", []string{forwarder.HeaderDeadline, "0"}, 504, "not-run"},
+		{"no key", "payout", nil, 400, "not-run"},
+		{"two keys", "payout", []string{key, newKey(0), key, newKey(0)}, 400, "not-run"},
+		{"not version 7", "payout", []string{key, "6ba7b810-9dad-11d1-80b4-00c04fd430c8"}, 400, "not-run"},
+		{"other spelling", "payout", []string{key, "{" + newKey(0) + "}"}, 400, "not-run"},
+		{"old key", "payout", []string{key, "age 24h1m"}, 409, "unknown"},
+		{"key from the future", "payout", []string{key, "age -6m"}, 400, "not-run"},
+		{"no member", "stock", nil, 503, "not-run"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, 0)
+				switch c.service {
+				case "lapsed":
+					m.snapshot = snapshot(t, time.Now())
+				case "none":
+					m.snapshot = nil
+				}
+				if len(c.header) == 2 && strings.HasPrefix(c.header[1], "age ") {
+					age, err := time.ParseDuration(strings.TrimPrefix(c.header[1], "age "))
+					m.is.NoErr(err)
+					c.header = []string{key, newKey(age)}
+				}
+				resp, body, err := m.call("POST", c.service, "x", c.header...)
+				m.expect(resp, err, c.status, c.outcome)
+				var report map[string]string
+				m.is.NoErr(json.Unmarshal([]byte(body), &report))
+				m.is.Equal(report["outcome"], c.outcome)
+				m.is.True(report["error"] != "")                      // the body names the reason
+				m.is.True(m.picks == 0 || c.name == "no member")      // nothing was sent
+				m.is.True(len(m.set.ListMetricNames()) > 0)           // the refusal is counted
+				m.is.Equal(resp.Header.Get("Connection"), "")         // the connection stays usable
+				m.is.Equal(resp.Header.Get(forwarder.HeaderLoad), "") // load is for daemons only
+			})
+		})
+	}
+}
+
+// TestHeaders guards against callers that raise their class, extend their deadline or pose as a daemon, and against
+// lost headers and trailers.
+func TestHeaders(t *testing.T) {
+	cases := []struct{ service, class, wantClass, deadline, wantDeadline, depth, wantDepth string }{
+		{"stock", "", "normal", "", "9960", "", "1"},
+		{"stock", "bulk", "bulk", "5000", "4960", "3", "4"},
+		{"archive", "urgent", "bulk", "99999", "9960", "15", "16"},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, 1)
+			m.service = c.service
+			var got *http.Request
+			m.upstream(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				got = r
+				w.Header().Set("Trailer", "Sum")
+				w.Header().Set(forwarder.HeaderOutcome, "not-run")
+				w.Header().Set("Connection", "Secret")
+				w.Header().Set("Secret", "1")
+				fmt.Fprint(w, "answer")
+				w.Header().Set("Sum", "9")
+			})
+			req, err := http.NewRequest("POST", "http://"+c.service+".mesh:8080/a%2Fb?c=%20d", strings.NewReader("body"))
+			m.is.NoErr(err)
+			req.ContentLength = -1
+			req.Trailer = http.Header{"Check": {"7"}}
+			for name, value := range map[string]string{
+				forwarder.HeaderClass: c.class, forwarder.HeaderDeadline: c.deadline, forwarder.HeaderDepth: c.depth,
+				forwarder.HeaderBatch: "forged", "X-Forwarded-For": "198.51.100.1", "Connection": "Private", "Private": "1",
+				"Kept": "1", "Proxy-Authorization": "1",
+			} {
+				if value != "" {
+					req.Header.Set(name, value)
+				}
+			}
+			resp, err := m.client.Do(req)
+			m.is.NoErr(err)
+			body, err := io.ReadAll(resp.Body)
+			m.is.NoErr(err)
+			m.is.Equal(string(body), "answer")
+			m.is.Equal(resp.Trailer.Get("Sum"), "9")
+			m.is.Equal(resp.Header.Get("Secret")+resp.Header.Get(forwarder.HeaderOutcome)+resp.Header.Get(forwarder.HeaderLoad), "")
+			m.is.Equal(got.RequestURI, "/a%2Fb?c=%20d")
+			m.is.Equal(got.Trailer.Get("Check"), "7")
+			for name, want := range map[string]string{
+				forwarder.HeaderClass: c.wantClass, forwarder.HeaderDeadline: c.wantDeadline, forwarder.HeaderDepth: c.wantDepth,
+				forwarder.HeaderBatch: "counter", "X-Forwarded-For": "198.51.100.1, 192.0.2.7", "Private": "", "Kept": "1",
+				"Proxy-Authorization": "", "User-Agent": "Go-http-client/1.1",
+			} {
+				m.is.Equal(got.Header.Get(name), want) // header at the upstream
+			}
+			m.is.Equal(m.outcomes[0].Load, 3)
+		})
+	}
+}
+
+// TestOwnAnswers guards against answers that reach another caller or are incomplete when calls cross and answer late.
+func TestOwnAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 2)
+		m.conns = 100
+		m.upstream(func(w http.ResponseWriter, r *http.Request) {
+			size, _ := strconv.Atoi(r.Header.Get("Size"))
+			data, _ := io.ReadAll(r.Body)
+			time.Sleep(time.Duration(size%997) * time.Millisecond)
+			for range size {
+				_, _ = w.Write(data)
+			}
+		})
+		random := rand.New(rand.NewPCG(1, 2))
+		var wg sync.WaitGroup
+		for i := range 100 {
+			size := random.IntN(20000) + 1
+			wg.Go(func() {
+				id := fmt.Sprintf("[%08d]", i)
+				resp, body, err := m.call("POST", "stock", id, "Size", strconv.Itoa(size))
+				if err != nil || resp.StatusCode != 200 || body != strings.Repeat(id, size) {
+					t.Errorf("call %d: error %v, %d bytes, want %d", i, err, len(body), size*len(id))
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
+// TestBrokenAnswers guards against truncated answers that look complete, and against repeating calls that may have run.
+func TestBrokenAnswers(t *testing.T) {
+	long := strings.Repeat("x", 100<<10)
+	cases := []struct {
+		name, method, answer string
+		status, runs         int // status 0: the caller's connection breaks
+	}{
+		{"nothing", "POST", "", 502, 1},
+		{"nothing to a get", "GET", "", 502, 3},
+		{"half a header", "POST", "HTTP/1.1 200 OK\r\nContent-", 502, 1},
+		{"short of its length", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", 502, 1},
+		{"no last chunk", "PATCH", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", 502, 1},
+		{"no framing", "POST", "HTTP/1.1 200 OK\r\n\r\nabc", 502, 1},
+		{"long", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + long, 0, 1},
+		{"long to a get", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n19000\r\n" + long + "\r\n", 0, 1},
+		{"switched protocol", "POST", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", 502, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, 4)
+				var runs atomic.Int32
+				m.rawUpstream(func(conn net.Conn) {
+					readRequest(conn)
+					runs.Add(1)
+					_, _ = io.WriteString(conn, c.answer)
+				})
+				resp, _, err := m.call(c.method, "stock", "")
+				m.is.Equal(int(runs.Load()), c.runs)
+				if c.status == 0 {
+					m.is.True(err != nil) // the caller sees that the answer broke off
+					return
+				}
+				m.expect(resp, err, c.status, "unknown")
+			})
+		})
+	}
+}
+
+// TestNotRun guards against calls that ran although they were refused as not run, and against giving up while another
+// member would take the call.
+func TestNotRun(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(forwarder.HeaderOutcome, "not-run")
+		w.WriteHeader(503)
+	}
+	cases := []struct {
+		name            string
+		refusing, dead  int // members before the good one
+		body            int
+		status, retries int
+		outcome         string
+	}{
+		{"none", 0, 0, 1, 200, 0, ""},
+		{"refused", 2, 0, 1, 200, 2, ""},
+		{"dead", 0, 2, 1, 200, 2, ""},
+		{"both with a long body", 0, 1, 100 << 10, 200, 1, ""},
+		{"too many", 2, 1, 1, 503, 2, "not-run"},
+		{"long body read", 1, 0, 100 << 10, 503, 0, "not-run"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, 0)
+				for i := range c.refusing {
+					m.addMember(i, http.HandlerFunc(refuse))
+				}
+				for i := range c.dead {
+					m.addMember(100+i, nil)
+					delete(m.net.listeners, m.members[c.refusing+i].Addr)
+				}
+				m.addMember(200, m.newIngress().Ingress())
+				var runs atomic.Int32
+				m.upstream(func(_ http.ResponseWriter, r *http.Request) {
+					data, _ := io.ReadAll(r.Body)
+					m.is.Equal(len(data), c.body)
+					runs.Add(1)
+				})
+				resp, _, err := m.call("POST", "stock", strings.Repeat("x", c.body))
+				m.expect(resp, err, c.status, c.outcome)
+				m.is.Equal(runs.Load() == 1, c.status == 200) // not run means no run
+				m.is.Equal(m.picks-1, c.retries)
+			})
+		})
+	}
+}
+
+// TestRetryBudget guards against retries that multiply the load of a service whose members all refuse.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 4)
+		m.slots = fmt.Errorf("queue full")
+		const calls = 200
+		for range calls {
+			resp, _, err := m.call("GET", "stock", "")
+			m.expect(resp, err, 503, "not-run")
+		}
+		m.is.Equal(m.picks, calls+calls/10+10)
+		resp, _, err := m.call("GET", "archive", "") // another service has its own budget
+		m.expect(resp, err, 503, "not-run")
+		m.is.Equal(m.picks, calls+calls/10+10+3)
+	})
+}
+
+// TestLapse guards against new calls after the expiry, and against breaking calls that are in progress.
+func TestLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 1)
+		m.snapshot = snapshot(t, time.Now().Add(time.Second))
+		m.upstream(func(http.ResponseWriter, *http.Request) { time.Sleep(2 * time.Second) })
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			resp, _, err := m.call("POST", "stock", "")
+			m.expect(resp, err, 200, "")
+		})
+		time.Sleep(time.Second)
+		resp, _, err := m.call("POST", "stock", "")
+		m.expect(resp, err, 410, "not-run")
+		wg.Wait()
+	})
+}
+
+// TestSilentConnection guards against calls that wait for their deadline on a connection that went silent while new
+// connections work.
+func TestSilentConnection(t *testing.T) {
+	for method, status := range map[string]int{"GET": 200, "POST": 502} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, 0)
+			silence := make(chan struct{})
+			ingress := m.newIngress().Ingress()
+			m.addMember(0, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-silence:
+				default:
+					m.net.silence(m.members[0].Addr)
+					close(silence)
+					<-r.Context().Done()
+				}
+				ingress.ServeHTTP(w, r)
+			}))
+			m.addMember(1, ingress)
+			m.upstream(func(http.ResponseWriter, *http.Request) {})
+			started := time.Now()
+			resp, _, err := m.call(method, "stock", "")
+			m.expect(resp, err, status, map[int]string{502: "unknown"}[status])
+			m.is.True(time.Since(started) <= 2*time.Second) // fake time: two pings
+			resp, _, err = m.call(method, "stock", "")
+			m.expect(resp, err, 200, "")
+		})
+	}
+}
+
+// TestDrain guards against a planned stop that interrupts calls in progress or takes new ones.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 1)
+		m.upstream(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			resp, _, err := m.call("POST", "stock", "")
+			m.expect(resp, err, 200, "")
+		})
+		synctest.Wait()
+		started := time.Now()
+		wg.Go(func() {
+			m.is.NoErr(m.ingress[0].Drain(t.Context()))
+			m.is.Equal(time.Since(started), time.Second)
+		})
+		synctest.Wait()
+		resp, _, err := m.call("POST", "stock", "")
+		m.expect(resp, err, 503, "not-run")
+		wg.Wait()
+		m.is.NoErr(m.egress.Drain(t.Context()))
+		resp, _, err = m.call("POST", "stock", "")
+		m.expect(resp, err, 503, "not-run")
+		m.is.True(resp.Close) // callers move to another daemon
+	})
+}
+
+// TestLegacyCaller guards against long answers to HTTP/1.0 callers, to whom a broken answer looks complete.
+func TestLegacyCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 1)
+		conn, err := m.net.dial(t.Context(), callsAddr)
+		m.is.NoErr(err)
+		_, err = io.WriteString(conn, "GET / HTTP/1.0\r\nHost: stock\r\n\r\n")
+		m.is.NoErr(err)
+		data, err := io.ReadAll(conn)
+		m.is.NoErr(err)
+		m.is.True(bytes.Contains(data, []byte(" 505 ")))
+	})
+}
--- /dev/null
+++ b/daemon/forwarder/fixture_test.go
@@ -0,0 +1,341 @@
+package forwarder_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/forwarder"
+)
+
+var (
+	callsAddr    = netip.MustParseAddrPort("10.0.0.1:80")
+	upstreamAddr = netip.MustParseAddrPort("10.0.0.9:80")
+)
+
+// network connects addresses by net.Pipe, so that time in a synctest bubble advances while connections wait.
+type network struct {
+	mu        sync.Mutex
+	listeners map[netip.AddrPort]*listener
+	silent    map[netip.AddrPort]chan struct{} // closed to silence the connections open now
+	open, top int                              // connections to the upstream, and the most at one time
+}
+
+type listener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *listener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// pipe is one end of a connection. Once silent it drops what is written and delivers nothing, without an error.
+type pipe struct {
+	net.Conn
+	silent chan struct{}
+	closed func()
+}
+
+func (p *pipe) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(192, 0, 2, 7), Port: 7} }
+func (p *pipe) Close() error         { p.closed(); return p.Conn.Close() }
+func (p *pipe) Write(b []byte) (int, error) {
+	select {
+	case <-p.silent:
+		return len(b), nil
+	default:
+		return p.Conn.Write(b)
+	}
+}
+
+func (n *network) listen(addr netip.AddrPort) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{conns: make(chan net.Conn), done: make(chan struct{})}
+	n.listeners[addr] = l
+	return l
+}
+
+func (n *network) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	if n.silent[addr] == nil {
+		n.silent[addr] = make(chan struct{})
+	}
+	silent := n.silent[addr]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	server := &pipe{Conn: far, silent: silent, closed: func() {}}
+	client := &pipe{Conn: near, silent: silent, closed: sync.OnceFunc(func() { n.count(addr, -1) })}
+	select {
+	case l.conns <- server:
+		n.count(addr, 1)
+		return client, nil
+	case <-l.done:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// silence makes the connections to addr that are open now silent.
+func (n *network) silence(addr netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.silent[addr])
+	delete(n.silent, addr)
+}
+
+func (n *network) count(addr netip.AddrPort, change int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if addr == upstreamAddr {
+		n.open += change
+		n.top = max(n.top, n.open)
+	}
+}
+
+// mesh is an egress side, members with an ingress side, and one upstream that all members share.
+type mesh struct {
+	t   *testing.T
+	is  *is.I
+	net *network
+	set *metrics.Set
+
+	egress   *forwarder.Forwarder
+	ingress  []*forwarder.Forwarder
+	members  []wire.Member
+	snapshot *compiler.Snapshot
+	client   *http.Client
+	claims   *claims
+	slots    error // refuses slots at every member
+	conns    int
+	service  string // of the upstream
+
+	mu       sync.Mutex
+	picks    int
+	outcomes []forwarder.Outcome // at the picker
+	freed    []forwarder.Outcome // at the limiter
+}
+
+// newMesh starts a mesh with as many members as given.
+func newMesh(t *testing.T, members int) *mesh {
+	m := &mesh{t: t, is: is.New(t), set: metrics.NewSet(), conns: 8, service: "stock"}
+	m.net = &network{listeners: map[netip.AddrPort]*listener{}, silent: map[netip.AddrPort]chan struct{}{}}
+	m.snapshot = snapshot(t, time.Now().Add(time.Hour))
+	m.claims = &claims{grants: map[string]*wire.Claim{}, done: map[string]bool{}, freed: map[string]bool{}}
+	m.egress = forwarder.New(forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot }),
+		forwarder.WithPick(m.pick), forwarder.WithDial(m.net.dial), forwarder.WithMetrics(m.set))
+	m.serve(callsAddr, forwarder.NewCallServer(m.egress.Egress()))
+	for i := range members {
+		f := m.newIngress()
+		m.ingress = append(m.ingress, f)
+		m.addMember(i, f.Ingress())
+	}
+	transport := &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return m.net.dial(ctx, callsAddr)
+	}}
+	m.client = &http.Client{Transport: transport}
+	t.Cleanup(transport.CloseIdleConnections)
+	t.Cleanup(m.egress.Close)
+	return m
+}
+
+// addMember starts a member with the given ingress handler.
+func (m *mesh) addMember(i int, h http.Handler) {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80)
+	m.members = append(m.members, wire.Member{Name: addr.String(), Addr: addr})
+	m.serve(addr, forwarder.NewPeerServer(h))
+}
+
+func (m *mesh) newIngress(opts ...forwarder.Option) *forwarder.Forwarder {
+	f := forwarder.New(append(opts,
+		forwarder.WithUpstream(func() (wire.Upstream, bool) {
+			return wire.Upstream{Address: upstreamAddr, Service: m.service, Conns: m.conns}, true
+		}),
+		forwarder.WithAcquire(func(context.Context, string) (func(forwarder.Outcome), error) {
+			return func(o forwarder.Outcome) { m.record(&m.freed, o) }, m.slots
+		}),
+		forwarder.WithLoad(func() int { return 3 }),
+		forwarder.WithClaim(m.claims.claim), forwarder.WithRelease(m.claims.release), forwarder.WithFinish(m.claims.finish),
+		forwarder.WithDial(m.net.dial), forwarder.WithMetrics(m.set))...)
+	m.t.Cleanup(f.Close)
+	return f
+}
+
+func (m *mesh) serve(addr netip.AddrPort, s *http.Server) {
+	l := m.net.listen(addr)
+	go s.Serve(l)
+	m.t.Cleanup(func() { s.Close() })
+}
+
+// upstream serves the upstream by h.
+func (m *mesh) upstream(h http.HandlerFunc) {
+	m.serve(upstreamAddr, &http.Server{Handler: h})
+}
+
+// rawUpstream serves each connection of the upstream by f.
+func (m *mesh) rawUpstream(f func(net.Conn)) {
+	l := m.net.listen(upstreamAddr)
+	m.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer conn.Close(); f(conn) }()
+		}
+	}()
+}
+
+func (m *mesh) record(to *[]forwarder.Outcome, o forwarder.Outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	*to = append(*to, o)
+}
+
+func (m *mesh) pick(_ string, skip []string) (wire.Member, func(forwarder.Outcome), error) {
+	m.mu.Lock()
+	m.picks++
+	m.mu.Unlock()
+	for _, member := range m.members {
+		if !strings.Contains(strings.Join(skip, " "), member.Name) {
+			return member, func(o forwarder.Outcome) { m.record(&m.outcomes, o) }, nil
+		}
+	}
+	return wire.Member{}, nil, errors.New("no member left")
+}
+
+// call sends one call for the service and returns the answer with its body, and the error of reading the body.
+func (m *mesh) call(method, service, body string, header ...string) (*http.Response, string, error) {
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	req, err := http.NewRequest(method, "http://"+service+"/run?x=1", reader)
+	m.is.NoErr(err)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Add(header[i], header[i+1])
+	}
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// expect checks the status and outcome of an answer. It may be called by any goroutine.
+func (m *mesh) expect(resp *http.Response, err error, status int, outcome string) {
+	m.t.Helper()
+	if err != nil {
+		m.t.Errorf("error %v, want status %d", err, status)
+		return
+	}
+	if got := resp.Header.Get(forwarder.HeaderOutcome); resp.StatusCode != status || got != outcome {
+		m.t.Errorf("status %d, outcome %q, want %d, %q", resp.StatusCode, got, status, outcome)
+	}
+}
+
+func snapshot(t testing.TB, until time.Time) *compiler.Snapshot {
+	services := []wire.Service{
+		{Name: "archive", Class: compiler.Bulk, Limit: 10 * time.Second},
+		{Name: "payout", Class: compiler.Urgent, Limit: 5 * time.Second, Once: true},
+		{Name: "stock", Class: compiler.Normal, Limit: 10 * time.Second},
+	}
+	batch := wire.Batch{Name: "counter", Version: 1, Until: until.UnixMilli(), Services: services}
+	sum, err := compiler.Sum(batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := compiler.New(batch, sum)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// newKey returns a UUIDv7 of the given age. It is not made by uuid.NewV7, whose times never go back, because each
+// synctest bubble starts at the same time.
+func newKey(age time.Duration) string {
+	id := uuid.New()
+	ms := time.Now().Add(-age).UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	id[6] = id[6]&0x0f | 0x70
+	return id.String()
+}
+
+// claims grants each key to one attempt, as the controllers do.
+type claims struct {
+	mu     sync.Mutex
+	grants map[string]*wire.Claim
+	done   map[string]bool
+	freed  map[string]bool // released attempts
+	lose   int             // answers to lose after granting
+}
+
+func (c *claims) claim(_ context.Context, claim wire.Claim) (wire.Verdict, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.grants[claim.Key]
+	switch {
+	case c.freed[claim.Attempt]:
+		return wire.Verdict{State: "released"}, nil
+	case held == nil:
+		c.grants[claim.Key] = &claim
+	case held.Digest != claim.Digest:
+		return wire.Verdict{State: "mismatch"}, nil
+	case c.done[claim.Key]:
+		return wire.Verdict{State: "done", Status: held.Status, Kind: held.Kind, Whole: held.Whole, Body: held.Body}, nil
+	case held.Attempt != claim.Attempt:
+		return wire.Verdict{State: "running"}, nil
+	}
+	if c.lose > 0 {
+		c.lose--
+		return wire.Verdict{}, errors.New("answer lost")
+	}
+	return wire.Verdict{State: "granted"}, nil
+}
+
+func (c *claims) release(claim wire.Claim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.freed[claim.Attempt] = true
+	if held := c.grants[claim.Key]; held != nil && held.Attempt == claim.Attempt {
+		delete(c.grants, claim.Key)
+	}
+}
+
+func (c *claims) finish(claim wire.Claim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.grants[claim.Key], c.done[claim.Key] = &claim, true
+}
--- /dev/null
+++ b/daemon/forwarder/ingress_test.go
@@ -0,0 +1,256 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bluebellhoist/core/compiler"
+	"bluebellhoist/daemon/forwarder"
+)
+
+// readRequest reads one whole request from a raw connection.
+func readRequest(conn net.Conn) bool {
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+// TestOnce guards against a second run of a once call when connections break at any point, the claim's answer is lost,
+// or the caller sends the call again.
+func TestOnce(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\npaid"
+	cases := []struct {
+		name          string
+		reads         int // bytes that the upstream reads before it closes; -1 for the whole request
+		answer        string
+		lose          int // claim answers to lose
+		status, again int // of the call, and of a call with the same key afterwards
+		outcome       string
+		runs          int
+	}{
+		{"answered", -1, ok, 0, 200, 200, "", 1},
+		{"closed before the write", 0, "", 0, 409, 409, "unknown", 0},
+		{"closed during the write", 20, "", 0, 409, 409, "unknown", 0},
+		{"closed after the write", -1, "", 0, 409, 409, "unknown", 1},
+		{"closed within the answer", -1, ok[:60], 0, 409, 409, "unknown", 1},
+		{"long answer", -1, strings.Replace(ok, " 4\r\n\r\n", " 2000\r\n\r\n"+strings.Repeat("x", 1996), 1), 0, 200, 409, "", 1},
+		{"claim answer lost", -1, ok, 1, 200, 200, "", 1},
+		{"all claim answers lost", -1, ok, 3, 503, 200, "not-run", 1},
+		{"shed", -1, strings.Replace(ok, "200 OK", "503 Busy", 1), 0, 503, 503, "", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, 4)
+				m.service = "payout"
+				m.claims.lose = c.lose
+				var runs, conns atomic.Int32
+				m.rawUpstream(func(conn net.Conn) {
+					conns.Add(1)
+					if c.reads >= 0 {
+						_, _ = io.ReadFull(conn, make([]byte, c.reads))
+						return
+					}
+					if readRequest(conn) {
+						runs.Add(1)
+						_, _ = io.WriteString(conn, c.answer)
+					}
+				})
+				key := newKey(time.Hour)
+				resp, _, err := m.call("POST", "payout", "10 won", forwarder.HeaderKey, key)
+				m.expect(resp, err, c.status, c.outcome)
+				resp, body, err := m.call("POST", "payout", "10 won", forwarder.HeaderKey, strings.ToUpper(key))
+				m.is.NoErr(err)
+				m.is.Equal(resp.StatusCode, c.again)
+				m.is.Equal(resp.Header.Get(forwarder.HeaderReplayed) != "", c.again != 409 && c.lose < 3)
+				m.is.True(c.again == 409 || body == "paid")
+				m.is.Equal(int(runs.Load()), c.runs)
+				m.is.Equal(int(conns.Load()), 1) // written at most once
+				resp, _, err = m.call("POST", "payout", "99 won", forwarder.HeaderKey, key)
+				m.expect(resp, err, 422, "not-run")
+			})
+		})
+	}
+}
+
+// TestUnreachableUpstream guards against keeping the claim of a call that was never sent.
+func TestUnreachableUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 1)
+		m.service = "payout"
+		key := newKey(0)
+		resp, _, err := m.call("POST", "payout", "x", forwarder.HeaderKey, key)
+		m.expect(resp, err, 503, "not-run")
+		m.is.Equal(len(m.claims.grants), 0)
+		m.upstream(func(http.ResponseWriter, *http.Request) {})
+		resp, _, err = m.call("POST", "payout", "x", forwarder.HeaderKey, key)
+		m.expect(resp, err, 200, "")
+		m.is.Equal(m.freed[0].Result, forwarder.Unreachable)
+	})
+}
+
+// TestOnceWithoutSnapshot guards against a once call that runs without a claim at a daemon that has no configuration
+// (either side is enough), and against running a request twice that was delivered twice.
+func TestOnceWithoutSnapshot(t *testing.T) {
+	cases := []struct {
+		name, once  string
+		knows       bool
+		key         bool
+		want, claim int
+	}{
+		{"egress says once", "true", false, true, 200, 1},
+		{"ingress knows once", "false", true, true, 200, 1},
+		{"no key", "false", true, false, 400, 0},
+		{"not by a daemon", "", false, true, 400, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, 0)
+				m.service = "payout"
+				m.addMember(0, m.newIngress(forwarder.WithSnapshot(func() *compiler.Snapshot {
+					if c.knows {
+						return m.snapshot
+					}
+					return nil
+				})).Ingress())
+				var runs atomic.Int32
+				m.upstream(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+				for range 2 {
+					req, err := http.NewRequest("POST", "http://"+m.members[0].Name, strings.NewReader("x"))
+					m.is.NoErr(err)
+					req.Host = "payout"
+					req.Header = http.Header{forwarder.HeaderClass: {"urgent"}, forwarder.HeaderAttempt: {"same"}}
+					if c.once != "" {
+						req.Header.Set(forwarder.HeaderOnce, c.once)
+					}
+					if c.key {
+						req.Header.Set(forwarder.HeaderKey, "019b0000-0000-7000-8000-000000000001")
+					}
+					client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+						return m.net.dial(ctx, m.members[0].Addr)
+					}, DisableKeepAlives: true}}
+					resp, err := client.Do(req)
+					m.is.NoErr(err)
+					m.is.Equal(resp.StatusCode, c.want)
+					resp.Body.Close()
+				}
+				m.is.Equal(int(runs.Load()), c.claim)
+				m.is.Equal(len(m.claims.grants), c.claim)
+			})
+		})
+	}
+}
+
+// TestReusedConnection guards against net/http repeating a call on its own when a kept connection breaks after the
+// write, which it does for any request with an idempotency key.
+func TestReusedConnection(t *testing.T) {
+	for _, header := range [][]string{nil, {forwarder.HeaderKey, "k"}, {"X-Idempotency-Key", "k"}} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, 3)
+			var runs atomic.Int32
+			m.rawUpstream(func(conn net.Conn) {
+				for readRequest(conn) && runs.Add(1) == 1 {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			resp, _, err := m.call("GET", "stock", "")
+			m.expect(resp, err, 200, "")
+			resp, _, err = m.call("POST", "stock", "", header...)
+			m.expect(resp, err, 502, "unknown")
+			m.is.Equal(int(runs.Load()), 2)
+		})
+	}
+}
+
+// TestCancellation guards against upstreams that work on for a caller that went away or a deadline that passed, and
+// against losing the answer of a once call whose caller went away.
+func TestCancellation(t *testing.T) {
+	cases := []struct {
+		name, service string
+		leave         time.Duration // when the caller goes away
+		ends          time.Duration // when the upstream's call ends
+		result        forwarder.Result
+		again         int
+	}{
+		{"caller leaves", "stock", time.Second, time.Second, forwarder.Canceled, 0},
+		{"deadline", "stock", time.Hour, 9980 * time.Millisecond, forwarder.Timeout, 0},
+		{"once caller leaves", "payout", time.Second, 4 * time.Second, forwarder.Success, 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, 1)
+				m.service = c.service
+				started := time.Now()
+				var ended time.Duration
+				m.upstream(func(_ http.ResponseWriter, r *http.Request) {
+					select {
+					case <-r.Context().Done():
+					case <-time.After(4 * time.Second):
+						if c.service == "stock" {
+							<-r.Context().Done()
+						}
+					}
+					ended = time.Since(started)
+				})
+				key := newKey(0)
+				ctx, cancel := context.WithTimeout(t.Context(), c.leave)
+				defer cancel()
+				req, err := http.NewRequestWithContext(ctx, "GET", "http://"+c.service+"/run?x=1", nil)
+				m.is.NoErr(err)
+				req.Header.Set(forwarder.HeaderKey, key)
+				resp, err := m.client.Do(req)
+				if c.leave == time.Hour {
+					m.expect(resp, err, 504, "unknown")
+					resp.Body.Close()
+				} else {
+					m.is.True(err != nil)
+				}
+				time.Sleep(5 * time.Second)
+				synctest.Wait()
+				m.is.Equal(ended, c.ends)
+				m.is.Equal(m.freed[0].Result, c.result) // the limiter hears how the upstream fared
+				if c.again != 0 {
+					resp, _, err := m.call("GET", c.service, "", forwarder.HeaderKey, key)
+					m.expect(resp, err, c.again, "")
+					m.is.Equal(resp.Header.Get(forwarder.HeaderReplayed), "true")
+				}
+			})
+		})
+	}
+}
+
+// TestConns guards against more connections than the upstream takes when kept and fresh connections mix.
+func TestConns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 1)
+		m.conns = 4
+		m.upstream(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) })
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				header := []string{}
+				if i%2 == 0 {
+					header = []string{forwarder.HeaderKey, "k"} // sent on a fresh connection
+				}
+				resp, _, err := m.call("POST", "stock", "x", header...)
+				m.expect(resp, err, 200, "")
+			})
+		}
+		wg.Wait()
+		m.is.Equal(m.net.top, 4)
+	})
+}
