Add bluebellctl, the operators' command line

Cause: operators and tests need to submit changes, read batches and wait for a version. Queries ask all controllers and keep the highest version.

--- /dev/null
+++ b/bluebellctl/batches.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+)
+
+// batch is one batch as controllers report it.
+type batch struct {
+	Name     string    `json:"name"`
+	Version  uint64    `json:"version"`
+	Until    time.Time `json:"until"`
+	Lapsed   bool      `json:"lapsed"`
+	Services []service `json:"services"`
+}
+
+type service struct {
+	Name  string   `json:"name"`
+	Needs []string `json:"needs"`
+	Class string   `json:"class"`
+	Once  bool     `json:"once"`
+	Limit string   `json:"limit"`
+}
+
+func (p *program) batches() *ff.Command {
+	return &ff.Command{
+		Name:      "batches",
+		Usage:     "bluebellctl batches",
+		ShortHelp: "list the batches",
+		Flags:     ff.NewFlagSet("batches").SetParent(p.flags),
+		Exec: func(ctx context.Context, _ []string) error {
+			c, err := p.client()
+			if err != nil {
+				return err
+			}
+			lists, _, err := gather[[]batch](ctx, c, "/v1/batches")
+			if err != nil {
+				return err
+			}
+			table := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
+			fmt.Fprintln(table, "NAME\tVERSION\tUNTIL\tLAPSED\tSERVICES")
+			for _, b := range newest(lists) {
+				fmt.Fprintf(table, "%s\t%d\t%s\t%t\t%d\n", b.Name, b.Version, b.Until.Format(time.RFC3339), b.Lapsed, len(b.Services))
+			}
+			return table.Flush()
+		},
+	}
+}
+
+// newest merges lists by name and keeps the highest version, since a cut-off controller reports old ones.
+func newest(lists [][]batch) []batch {
+	byName := map[string]batch{}
+	for _, list := range lists {
+		for _, b := range list {
+			if old, ok := byName[b.Name]; !ok || b.Version > old.Version {
+				byName[b.Name] = b
+			}
+		}
+	}
+	merged := make([]batch, 0, len(byName))
+	for _, b := range byName {
+		merged = append(merged, b)
+	}
+	slices.SortFunc(merged, func(a, b batch) int { return cmp.Compare(a.Name, b.Name) })
+	return merged
+}
--- /dev/null
+++ b/bluebellctl/check.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"bluebellhoist/core/compiler"
+)
+
+func (p *program) check() *ff.Command {
+	return &ff.Command{
+		Name:      "check",
+		Usage:     "bluebellctl check FILE",
+		ShortHelp: "validate a text without a controller",
+		Flags:     ff.NewFlagSet("check").SetParent(p.flags),
+		Exec: func(_ context.Context, args []string) error {
+			path, err := argument(args, "FILE")
+			if err != nil {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return fmt.Errorf("%w: %v", errUsage, err)
+			}
+			if _, err := compiler.Parse(text, time.Now()); err != nil {
+				return fmt.Errorf("%w: %v", errInvalid, err)
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/bluebellctl/status.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v4"
+)
+
+// status is what one controller reports.
+type status struct {
+	Name    string   `json:"name"`
+	Role    string   `json:"role"`
+	Leader  string   `json:"leader"`
+	Term    uint64   `json:"term"`
+	Commit  uint64   `json:"commit"`
+	Applied uint64   `json:"applied"`
+	Version uint64   `json:"version"`
+	Fresh   bool     `json:"fresh"`
+	Nodes   []node   `json:"nodes,omitempty"`
+	Daemons []daemon `json:"daemons,omitempty"`
+}
+
+type node struct {
+	Name  string `json:"name"`
+	Addr  string `json:"addr"`
+	Voter bool   `json:"voter"`
+}
+
+type daemon struct {
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	Batch  string `json:"batch"`
+	Held   uint64 `json:"held"`
+}
+
+// overview merges the reports of all controllers that answered.
+type overview struct {
+	Controllers []status `json:"controllers"`
+	Nodes       []node   `json:"nodes"`
+	Daemons     []daemon `json:"daemons"`
+	Silent      []string `json:"silent"`
+}
+
+func (p *program) status() *ff.Command {
+	flags := ff.NewFlagSet("status").SetParent(p.flags)
+	asJSON := flags.BoolLong("json", "print JSON")
+	return &ff.Command{
+		Name:      "status",
+		Usage:     "bluebellctl status [FLAGS]",
+		ShortHelp: "show controllers and daemons",
+		Flags:     flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			c, err := p.client()
+			if err != nil {
+				return err
+			}
+			o, err := c.overview(ctx)
+			if err != nil {
+				return err
+			}
+			if *asJSON {
+				encoder := json.NewEncoder(p.stdout)
+				encoder.SetIndent("", "  ")
+				return encoder.Encode(o)
+			}
+			return o.print(p.stdout)
+		},
+	}
+}
+
+func (c *client) overview(ctx context.Context) (overview, error) {
+	reports, failed, err := gather[status](ctx, c, "/v1/status")
+	if err != nil {
+		return overview{}, err
+	}
+	o := merge(reports)
+	for _, err := range failed {
+		o.Silent = append(o.Silent, err.Error())
+	}
+	return o, nil
+}
+
+// merge takes the membership from the controller that applied most, and each daemon from the report with its highest
+// version: a daemon that moved may still be listed by its former controller.
+func merge(reports []status) overview {
+	o := overview{Controllers: []status{}, Nodes: []node{}, Daemons: []daemon{}, Silent: []string{}}
+	daemons := map[string]daemon{}
+	var applied uint64
+	for _, r := range reports {
+		if r.Applied >= applied {
+			applied, o.Nodes = r.Applied, r.Nodes
+		}
+		for _, d := range r.Daemons {
+			if old, ok := daemons[d.Name]; !ok || d.Held > old.Held {
+				daemons[d.Name] = d
+			}
+		}
+		r.Nodes, r.Daemons = nil, nil
+		o.Controllers = append(o.Controllers, r)
+	}
+	for _, d := range daemons {
+		o.Daemons = append(o.Daemons, d)
+	}
+	slices.SortFunc(o.Daemons, func(a, b daemon) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(o.Controllers, func(a, b status) int { return cmp.Compare(a.Name, b.Name) })
+	return o
+}
+
+func (o overview) print(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "CONTROLLER\tROLE\tLEADER\tTERM\tCOMMIT\tAPPLIED\tVERSION\tFRESH")
+	for _, c := range o.Controllers {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%t\n", c.Name, c.Role, c.Leader, c.Term, c.Commit, c.Applied, c.Version, c.Fresh)
+	}
+	fmt.Fprintln(table, "\nNODE\tADDRESS\tVOTER")
+	for _, n := range o.Nodes {
+		fmt.Fprintf(table, "%s\t%s\t%t\n", n.Name, n.Addr, n.Voter)
+	}
+	fmt.Fprintln(table, "\nDAEMON\tDOMAIN\tBATCH\tHELD")
+	for _, d := range o.Daemons {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\n", d.Name, d.Domain, d.Batch, d.Held)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, silent := range o.Silent {
+		if _, err := fmt.Fprintln(out, "no answer:", silent); err != nil {
+			return err
+		}
+	}
+	return nil
+}
