--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -25,6 +25,7 @@
 
 	writeTimeout   = 5 * time.Second
 	barrierTimeout = 5 * time.Second
+	proposeTimeout = 2 * time.Second
 	// readLimit bounds a frame from a daemon in bytes; the largest one finishes a claim with a body of 1 KiB.
 	readLimit = 64 << 10
 	// proposalLimit is how many claims of one daemon may be in progress at once.
--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -102,7 +102,9 @@
 func (s *session) answer(ctx context.Context, frame wire.Frame) {
 	cmd := wire.Command{Claim: frame.Claim, Release: frame.Release, Finish: frame.Finish}
 	reply := wire.Frame{ID: frame.ID}
-	result, err := s.d.propose(ctx, cmd)
+	proposeCtx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := s.d.propose(proposeCtx, cmd)
 	switch {
 	case err != nil:
 		reply.Error = err.Error()
--- /dev/null
+++ b/controller/main.go
@@ -0,0 +1,68 @@
+// Command controller holds the durable state and brings it to the daemons.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+
+	"bluebellhoist/controller/storer"
+)
+
+func main() {
+	flags := ff.NewFlagSet("controller")
+	path := flags.StringLong("settings", "controller.json", "settings file")
+	root := &ff.Command{
+		Name:  "controller",
+		Usage: "controller --settings FILE init|run",
+		Flags: flags,
+		Subcommands: []*ff.Command{
+			{
+				Name:      "init",
+				ShortHelp: "make a new cluster with this node as its only voter; done once, on one node",
+				Exec:      func(context.Context, []string) error { return initialize(*path) },
+			},
+			{
+				Name:      "run",
+				ShortHelp: "run the node until SIGTERM",
+				Exec:      func(ctx context.Context, _ []string) error { return start(ctx, *path) },
+			},
+		},
+	}
+	err := root.ParseAndRun(context.Background(), os.Args[1:], ff.WithEnvVarPrefix("CONTROLLER"))
+	if errors.Is(err, ff.ErrHelp) || errors.Is(err, ff.ErrNoExec) {
+		fmt.Fprintln(os.Stderr, ffhelp.Command(root))
+		os.Exit(2)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "controller:", err)
+		os.Exit(1)
+	}
+}
+
+func initialize(path string) error {
+	s, err := loadSettings(path)
+	if err != nil {
+		return err
+	}
+	identity, err := storer.Init(s.Data, s.node())
+	if err != nil {
+		return err
+	}
+	fmt.Println("cluster", identity.Cluster, "node", identity.ID)
+	return nil
+}
+
+func start(ctx context.Context, path string) error {
+	s, err := loadSettings(path)
+	if err != nil {
+		return err
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: s.Name, Level: hclog.LevelFromString(s.Level)})
+	return serve(ctx, s, log)
+}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -1,4 +1,42 @@
-// Command daemon is part of bluebellhoist.
+// Command daemon is the proxy on an upstream VM.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+)
+
+func main() {
+	flags := ff.NewFlagSet("daemon")
+	path := flags.StringLong("settings", "daemon.json", "settings file")
+	root := &ff.Command{
+		Name:  "daemon",
+		Usage: "daemon --settings FILE",
+		Flags: flags,
+		Exec:  func(ctx context.Context, _ []string) error { return start(ctx, *path) },
+	}
+	err := root.ParseAndRun(context.Background(), os.Args[1:], ff.WithEnvVarPrefix("DAEMON"))
+	if errors.Is(err, ff.ErrHelp) {
+		fmt.Fprintln(os.Stderr, ffhelp.Command(root))
+		os.Exit(2)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "daemon:", err)
+		os.Exit(1)
+	}
+}
+
+func start(ctx context.Context, path string) error {
+	s, err := loadSettings(path)
+	if err != nil {
+		return err
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: s.Name, Level: hclog.LevelFromString(s.Level)})
+	return serve(ctx, s, log)
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// status is the answer of the local status query.
+type status struct {
+	Name    string   `json:"name"`
+	Domain  string   `json:"domain"`
+	Batch   string   `json:"batch"`
+	Held    uint64   `json:"held"`
+	Covers  bool     `json:"covers"`
+	Load    int      `json:"load"`
+	Limit   int      `json:"limit"`
+	Members []member `json:"members"`
+}
+
+type member struct {
+	Name    string         `json:"name"`
+	Domain  string         `json:"domain"`
+	Addr    netip.AddrPort `json:"addr"`
+	State   string         `json:"state"`
+	Service string         `json:"service"`
+	Ready   bool           `json:"ready"`
+	Held    uint64         `json:"held"`
+}
+
+func (d *daemon) getStatus(c echo.Context) error {
+	s := status{
+		Name:    d.settings.Name,
+		Domain:  d.settings.Domain,
+		Batch:   d.settings.Batch,
+		Load:    d.limiter.Load(),
+		Limit:   d.limiter.Limit(),
+		Members: []member{},
+	}
+	if held := d.subscriber.Held(); held != nil {
+		s.Held, s.Covers = held.Version(), held.Covers(time.Now())
+	}
+	for _, m := range d.gossiper.Members() {
+		s.Members = append(s.Members, member{
+			Name: m.Name, Domain: m.Domain, Addr: m.Addr, State: m.State, Service: m.Service, Ready: m.Ready, Held: m.Held,
+		})
+	}
+	return c.JSON(http.StatusOK, s)
+}
