--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/websocket"
 
 	"bluebellhoist/core/encoder"
@@ -19,12 +20,20 @@
 	conn    *websocket.Conn
 	hello   atomic.Pointer[wire.Hello]
 	held    atomic.Uint64
+	pending atomic.Pointer[sentUpdate]
 	hellos  chan wire.Hello
 	replies chan wire.Frame
 	slots   chan struct{}
 	bye     chan struct{}
 }
 
+// sentUpdate is the last update sent on a session.
+type sentUpdate struct {
+	batch   string
+	version uint64
+	at      time.Time
+}
+
 func newSession(d *Distributor, conn *websocket.Conn) *session {
 	return &session{
 		d:       d,
@@ -70,6 +79,7 @@
 			}
 		case frame.Ack != nil:
 			s.held.Store(frame.Ack.Version)
+			s.observe(frame.Ack.Version)
 		case frame.Claim != nil, frame.Release != nil, frame.Finish != nil:
 			select {
 			case s.slots <- struct{}{}:
@@ -180,13 +190,24 @@
 	if err != nil || data == nil {
 		return sent, err
 	}
+	batch, _ := view.Batch(hello.Batch)
+	s.pending.Store(&sentUpdate{batch: hello.Batch, version: batch.Version, at: time.Now()})
 	if err := s.sendData(ctx, data); err != nil {
 		return sent, err
 	}
-	batch, _ := view.Batch(hello.Batch)
 	return batch.Version, nil
 }
 
+// observe records the time from the sending of an update to its ack.
+func (s *session) observe(version uint64) {
+	sent := s.pending.Load()
+	if sent == nil || sent.version != version {
+		return
+	}
+	name := fmt.Sprintf(`update_ack_seconds{batch=%q}`, sent.batch)
+	metrics.GetOrCreateHistogram(name).UpdateDuration(sent.at)
+}
+
 func (s *session) send(ctx context.Context, frame wire.Frame) error {
 	data, err := encoder.Marshal(frame)
 	if err != nil {
--- a/daemon/exchanger/exchanger.go
+++ b/daemon/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellhoist/core/encoder"
@@ -27,6 +28,14 @@
 	exchangeTimeout = 5 * time.Second
 )
 
+// Bytes of gossip, without the headers of UDP, HTTP and TCP.
+var (
+	datagramsIn  = metrics.NewCounter(`control_bytes_total{link="datagram",direction="in"}`)
+	datagramsOut = metrics.NewCounter(`control_bytes_total{link="datagram",direction="out"}`)
+	exchangesIn  = metrics.NewCounter(`control_bytes_total{link="exchange",direction="in"}`)
+	exchangesOut = metrics.NewCounter(`control_bytes_total{link="exchange",direction="out"}`)
+)
+
 // ErrExchange reports an exchange that failed.
 var ErrExchange = errors.New("gossip exchange failed")
 
@@ -92,6 +101,7 @@
 			e.log.Debug("datagram not received", "error", err)
 			continue
 		}
+		datagramsIn.Add(n)
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		e.deliver(from, bytes.Clone(buf[:n]))
 	}
@@ -102,6 +112,7 @@
 	if _, err := e.conn.WriteToUDPAddrPort(data, to); err != nil {
 		return fmt.Errorf("%w: %v", ErrExchange, err)
 	}
+	datagramsOut.Add(len(data))
 	return nil
 }
 
@@ -166,13 +177,18 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
+	exchangesOut.Add(buf.Len())
 	return buf.Bytes(), nil
 }
 
 func unpack(body io.Reader) (wire.Gossip, error) {
 	var msg wire.Gossip
-	limited := io.LimitReader(flate.NewReader(body), encoder.MaxMessage+1)
-	data, err := io.ReadAll(limited)
+	packed, err := io.ReadAll(io.LimitReader(body, encoder.MaxMessage))
+	if err != nil {
+		return msg, fmt.Errorf("%w: %v", ErrExchange, err)
+	}
+	exchangesIn.Add(len(packed))
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), encoder.MaxMessage+1))
 	if err != nil {
 		return msg, fmt.Errorf("%w: %v", ErrExchange, err)
 	}
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -9,12 +9,19 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/websocket"
 
 	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/wire"
 )
 
+// Bytes of session messages, without the framing of WebSocket and TCP.
+var (
+	bytesIn  = metrics.NewCounter(`control_bytes_total{link="session",direction="in"}`)
+	bytesOut = metrics.NewCounter(`control_bytes_total{link="session",direction="out"}`)
+)
+
 // session is one connection to a controller.
 type session struct {
 	s        *Subscriber
@@ -114,6 +121,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrSession, err)
 	}
+	bytesOut.Add(len(data))
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if err := n.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
@@ -148,6 +156,7 @@
 	if err != nil {
 		return frame, fmt.Errorf("%w: %v", ErrSession, err)
 	}
+	bytesIn.Add(len(data))
 	if err := encoder.Unmarshal(data, &frame); err != nil {
 		return frame, fmt.Errorf("%w: %v", ErrSession, err)
 	}
--- a/daemon/subscriber/subscriber_test.go
+++ b/daemon/subscriber/subscriber_test.go
@@ -32,7 +32,7 @@
 	serve func(*peer)
 }
 
-func newController(t *testing.T, ctx context.Context, serve func(*peer)) *controller {
+func newController(ctx context.Context, t *testing.T, serve func(*peer)) *controller {
 	c := &controller{t: t, conns: make(chan net.Conn), serve: serve}
 	server := &http.Server{Handler: c}
 	go func() { _ = server.Serve(c) }()
@@ -117,7 +117,7 @@
 }
 
 // start runs a subscriber that reaches the given fakes, near first, until the test ends.
-func start(t *testing.T, ctx context.Context, fakes map[netip.AddrPort]*controller, opts ...subscriber.Option) *subscriber.Subscriber {
+func start(ctx context.Context, t *testing.T, fakes map[netip.AddrPort]*controller, opts ...subscriber.Option) *subscriber.Subscriber {
 	opts = append([]subscriber.Option{
 		subscriber.WithName("d1", "here", "counter"),
 		subscriber.WithControllers(near, far),
@@ -142,11 +142,11 @@
 }
 
 // scenario runs a test in fake time with a context that ends with it.
-func scenario(t *testing.T, run func(t *testing.T, ctx context.Context)) {
+func scenario(t *testing.T, run func(ctx context.Context, t *testing.T)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		t.Cleanup(cancel)
-		run(t, ctx)
+		run(ctx, t)
 	})
 }
 
@@ -182,9 +182,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			scenario(t, func(t *testing.T, ctx context.Context) {
+			scenario(t, func(ctx context.Context, t *testing.T) {
 				asked := make(chan wire.Hello, 100)
-				fake := newController(t, ctx, func(p *peer) {
+				fake := newController(ctx, t, func(p *peer) {
 					hello, _ := p.next()
 					if hello.Hello == nil {
 						return
@@ -203,7 +203,7 @@
 						}
 					}
 				})
-				s := start(t, ctx, map[netip.AddrPort]*controller{near.Addr: fake})
+				s := start(ctx, t, map[netip.AddrPort]*controller{near.Addr: fake})
 				time.Sleep(3 * time.Second)
 				synctest.Wait()
 				assertHeld(t, s, 5)
@@ -219,7 +219,7 @@
 
 // TestDelta guards against a proxy that cannot follow changes without a full snapshot.
 func TestDelta(t *testing.T) {
-	scenario(t, func(t *testing.T, ctx context.Context) {
+	scenario(t, func(ctx context.Context, t *testing.T) {
 		first, second := full(5, "a", "b"), full(8, "b", "c")
 		second.Full.Batch.Services[0].Mod = 5
 		sum, _ := compiler.Sum(second.Full.Batch)
@@ -228,7 +228,7 @@
 			Put: second.Full.Batch.Services[1:], Drop: []string{"a"},
 		}}
 		acks := make(chan wire.Ack, 2)
-		fake := newController(t, ctx, func(p *peer) {
+		fake := newController(ctx, t, func(p *peer) {
 			p.next()
 			p.send(first)
 			p.send(delta)
@@ -236,7 +236,7 @@
 				acks <- *frame.Ack
 			}
 		})
-		s := start(t, ctx, map[netip.AddrPort]*controller{near.Addr: fake})
+		s := start(ctx, t, map[netip.AddrPort]*controller{near.Addr: fake})
 		is.New(t).Equal((<-acks).Version, uint64(5))
 		is.New(t).Equal((<-acks).Sum, sum)
 		assertHeld(t, s, 8)
@@ -261,15 +261,15 @@
 				folder = t.TempDir()
 			}
 			for run := range 2 {
-				scenario(t, func(t *testing.T, ctx context.Context) {
+				scenario(t, func(ctx context.Context, t *testing.T) {
 					hellos := make(chan wire.Hello, 1)
-					fake := newController(t, ctx, func(p *peer) {
+					fake := newController(ctx, t, func(p *peer) {
 						frame, _ := p.next()
 						hellos <- *frame.Hello
 						p.send(full(5, "a"))
 						p.drain()
 					})
-					start(t, ctx, map[netip.AddrPort]*controller{near.Addr: fake}, subscriber.WithFolder(folder))
+					start(ctx, t, map[netip.AddrPort]*controller{near.Addr: fake}, subscriber.WithFolder(folder))
 					hello := <-hellos
 					synctest.Wait()
 					if run == 1 {
@@ -326,16 +326,16 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			scenario(t, func(t *testing.T, ctx context.Context) {
+			scenario(t, func(ctx context.Context, t *testing.T) {
 				fakes := map[netip.AddrPort]*controller{
-					near.Addr: newController(t, ctx, c.serve),
-					far.Addr: newController(t, ctx, func(p *peer) {
+					near.Addr: newController(ctx, t, c.serve),
+					far.Addr: newController(ctx, t, func(p *peer) {
 						p.next()
 						p.send(full(6, "a"))
 						p.drain()
 					}),
 				}
-				s := start(t, ctx, fakes)
+				s := start(ctx, t, fakes)
 				time.Sleep(c.within)
 				synctest.Wait()
 				assertHeld(t, s, 6)
@@ -346,8 +346,8 @@
 
 // TestRequest guards against answers that reach the wrong request and requests that hang after a disconnect.
 func TestRequest(t *testing.T) {
-	scenario(t, func(t *testing.T, ctx context.Context) {
-		fake := newController(t, ctx, func(p *peer) {
+	scenario(t, func(ctx context.Context, t *testing.T) {
+		fake := newController(ctx, t, func(p *peer) {
 			p.next()
 			first, _ := p.next()
 			second, _ := p.next()
@@ -356,7 +356,7 @@
 			}
 			p.next()
 		})
-		s := start(t, ctx, map[netip.AddrPort]*controller{near.Addr: fake})
+		s := start(ctx, t, map[netip.AddrPort]*controller{near.Addr: fake})
 		time.Sleep(time.Second)
 		ends := make(chan error, 2)
 		for _, attempt := range []string{"a", "b"} {
