--- /dev/null
+++ b/controller/cluster_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bluebellhoist/controller/storer"
+	"bluebellhoist/core/wire"
+)
+
+// cluster is three controllers on a network that loses and delays packets.
+type cluster struct {
+	t      *testing.T
+	folder string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	nodes  []*node
+	cut    map[int]bool // nodes that no other node can reach
+}
+
+// node is one controller that may be down.
+type node struct {
+	settings settings
+	mu       sync.Mutex
+	running  *controller
+	handler  http.Handler
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+const clusterSize = 3
+
+func newCluster(t *testing.T, seed uint64) *cluster {
+	c := &cluster{t: t, folder: t.TempDir(), random: rand.New(rand.NewPCG(seed, seed)), cut: map[int]bool{}}
+	var peers []netip.AddrPort
+	for i := range clusterSize {
+		peers = append(peers, address(i))
+	}
+	for i := range clusterSize {
+		c.nodes = append(c.nodes, &node{settings: settings{
+			Name: fmt.Sprintf("c%d", i), Domain: fmt.Sprintf("f%d", i), Listen: address(i), Peers: peers,
+			Data: filepath.Join(c.folder, fmt.Sprint(i)), Voter: true,
+		}})
+	}
+	if _, err := storer.Init(c.nodes[0].settings.Data, c.nodes[0].settings.node()); err != nil {
+		t.Fatal(err)
+	}
+	for i := range clusterSize {
+		c.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range clusterSize {
+			c.crash(i)
+		}
+	})
+	return c
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
+}
+
+func (c *cluster) start(i int) {
+	n := c.nodes[i]
+	store, err := storer.Open(n.settings.Data, n.settings.Name)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	running := newController(n.settings, store, hclog.NewNullLogger())
+	running.send = func(to netip.AddrPort, p wire.Packet) { c.send(i, int(to.Port())-1, p) }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- running.replicator.Run(ctx)
+		_ = store.Close()
+		close(done)
+	}()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.running, n.handler, n.cancel, n.done = running, running.handler(), cancel, done
+}
+
+// crash ends a node without notice.
+func (c *cluster) crash(i int) {
+	n := c.nodes[i]
+	n.mu.Lock()
+	cancel, done := n.cancel, n.done
+	n.running, n.handler, n.cancel = nil, nil, nil
+	n.mu.Unlock()
+	if cancel == nil {
+		return
+	}
+	cancel()
+	for err := range done {
+		if err != nil {
+			c.t.Errorf("node %d: %v", i, err)
+		}
+	}
+}
+
+func (c *cluster) loseDisk(i int) {
+	c.crash(i)
+	if err := os.RemoveAll(c.nodes[i].settings.Data); err != nil {
+		c.t.Fatal(err)
+	}
+	c.start(i)
+}
+
+func (c *cluster) isolate(i int, isolated bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[i] = isolated
+}
+
+// send delivers a packet after a delay of up to 20 ms; one in fifty is lost and one in fifty comes twice.
+func (c *cluster) send(from, to int, p wire.Packet) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut[from] || c.cut[to] || c.random.IntN(50) == 0 {
+		return
+	}
+	c.deliver(to, p)
+	if c.random.IntN(50) == 0 {
+		c.deliver(to, p)
+	}
+}
+
+func (c *cluster) deliver(to int, p wire.Packet) {
+	time.AfterFunc(time.Duration(c.random.Int64N(int64(20*time.Millisecond))), func() {
+		if running := c.nodes[to].get(); running != nil {
+			running.replicator.Deliver(p)
+		}
+	})
+}
+
+func (n *node) get() *controller {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.running
+}
+
+func (n *node) http() http.Handler {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.handler
+}
+
+// voters returns how many nodes believe that they vote.
+func (c *cluster) voters() int {
+	count := 0
+	for _, n := range c.nodes {
+		if running := n.get(); running != nil && running.replicator.Status().Self.Voter {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *cluster) awaitVoters() {
+	for c.voters() < clusterSize {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os/signal"
 	"syscall"
 	"time"
@@ -38,6 +39,7 @@
 	log           hclog.Logger
 	store         *storer.Storer
 	registrar     *registrar.Registrar
+	send          func(netip.AddrPort, wire.Packet)
 	messenger     *messenger.Messenger
 	replicator    *replicator.Replicator
 	distributor   *distributor.Distributor
@@ -65,11 +67,12 @@
 		messenger.WithDeliver(func(p wire.Packet) { c.replicator.Deliver(p) }),
 		messenger.WithLogger(log.Named("messenger")),
 	)
+	c.send = c.messenger.Send
 	c.replicator = replicator.New(
 		replicator.WithStore(store),
 		replicator.WithNode(s.node()),
 		replicator.WithSeeds(s.Peers),
-		replicator.WithSend(c.messenger.Send),
+		replicator.WithSend(func(to netip.AddrPort, p wire.Packet) { c.send(to, p) }),
 		replicator.WithApply(func(_ uint64, cmd wire.Command) wire.Result { return c.registrar.Apply(cmd) }),
 		replicator.WithSave(c.registrar.Save),
 		replicator.WithRestore(c.registrar.Restore),
