Leave a controller that does not answer a request within 0.9 s

Cause: claims of daemons on a frozen controller waited for the silence limit of 6 s and were refused as not run after 3 s. Ruled out: a shorter silence limit, which would cost more beats on every session at all times. Change: an unanswered request without any other frame ends the session; a controller answers within 0.7 s even without a leader. Measured: TestFrozenController fails without the change (claim answered after more than 3 s of fake time) and passes with it.

--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -25,7 +25,8 @@
 
 	writeTimeout   = 5 * time.Second
 	barrierTimeout = 5 * time.Second
-	proposeTimeout = 2 * time.Second
+	// proposeTimeout is shorter than the time after which a daemon takes an unanswered request for a dead session.
+	proposeTimeout = 700 * time.Millisecond
 	// readLimit bounds a frame from a daemon in bytes; the largest one finishes a claim with a body of 1 KiB.
 	readLimit = 64 << 10
 	// proposalLimit is how many claims of one daemon may be in progress at once.
--- a/daemon/subscriber/request.go
+++ b/daemon/subscriber/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"bluebellhoist/core/wire"
 )
@@ -21,6 +22,7 @@
 	}
 	defer n.forget(id)
 	frame.ID = id
+	start := time.Now()
 	select {
 	case n.outgoing <- frame:
 	case <-n.ctx.Done():
@@ -32,10 +34,19 @@
 	case reply, ok := <-answer:
 		return verdict(reply, ok)
 	case <-ctx.Done():
+		n.suspect(start)
 		return wire.Verdict{}, ctx.Err()
 	}
 }
 
+// suspect ends the session if nothing arrived on it since a request that was not answered within AnswerLimit. A
+// controller answers sooner even when it has no leader, so it is frozen or the connection is silent.
+func (n *session) suspect(start time.Time) {
+	if time.Since(start) >= AnswerLimit && n.received.Load() < start.UnixNano() {
+		n.cancel()
+	}
+}
+
 func verdict(reply wire.Frame, ok bool) (wire.Verdict, error) {
 	if !ok {
 		return wire.Verdict{}, ErrDisconnected
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -27,7 +28,9 @@
 	s        *Subscriber
 	conn     *websocket.Conn
 	ctx      context.Context
+	cancel   context.CancelFunc
 	outgoing chan wire.Frame
+	received atomic.Int64 // time of the last frame, in nanoseconds since the Unix epoch
 
 	mu      sync.Mutex
 	ended   bool
@@ -53,22 +56,22 @@
 	conn.SetReadLimit(encoder.MaxMessage)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n := &session{s: s, conn: conn, ctx: ctx, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
+	n := &session{s: s, conn: conn, ctx: ctx, cancel: cancel, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
 	s.log.Info("connected", "controller", c.Addr)
-	return n.run(cancel)
+	return n.run()
 }
 
-func (n *session) run(cancel context.CancelFunc) (bool, error) {
+func (n *session) run() (bool, error) {
 	n.s.session.Store(n)
 	defer n.end()
 	defer n.s.session.CompareAndSwap(n, nil)
 	writer := make(chan error, 1)
 	go func() {
 		writer <- n.write(n.ctx)
-		cancel() // ends the reader, which may wait for the writer
+		n.cancel() // ends the reader, which may wait for the writer
 	}()
 	established, err := n.read(n.ctx)
-	cancel()
+	n.cancel()
 	_ = n.conn.CloseNow()
 	return established, errors.Join(err, <-writer)
 }
@@ -157,6 +160,7 @@
 		return frame, fmt.Errorf("%w: %v", ErrSession, err)
 	}
 	bytesIn.Add(len(data))
+	n.received.Store(time.Now().UnixNano())
 	if err := encoder.Unmarshal(data, &frame); err != nil {
 		return frame, fmt.Errorf("%w: %v", ErrSession, err)
 	}
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -24,6 +24,8 @@
 	SilenceLimit = 6 * time.Second
 	// StaleLimit is how long a controller may lack a majority before the daemon tries another.
 	StaleLimit = 6 * time.Second
+	// AnswerLimit is the time after which an unanswered request makes a session without any other frame suspect.
+	AnswerLimit = 900 * time.Millisecond
 
 	minBackoff   = 200 * time.Millisecond
 	maxBackoff   = 10 * time.Second
--- a/daemon/subscriber/subscriber_test.go
+++ b/daemon/subscriber/subscriber_test.go
@@ -344,6 +344,35 @@
 	}
 }
 
+// TestFrozenController guards against claims that wait for the silence limit of a session.
+func TestFrozenController(t *testing.T) {
+	scenario(t, func(ctx context.Context, t *testing.T) {
+		fakes := map[netip.AddrPort]*controller{
+			near.Addr: newController(ctx, t, func(p *peer) { p.drain() }),
+			far.Addr: newController(ctx, t, func(p *peer) {
+				for frame, ok := p.next(); ok; frame, ok = p.next() {
+					if frame.Claim != nil {
+						p.send(wire.Frame{ID: frame.ID, Verdict: &wire.Verdict{State: "granted"}})
+					}
+				}
+			}),
+		}
+		s := start(ctx, t, fakes)
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		for {
+			try, cancel := context.WithTimeout(ctx, time.Second)
+			_, err := s.Request(try, wire.Frame{Claim: &wire.Claim{}})
+			cancel()
+			if err == nil {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.New(t).True(time.Since(began) < 3*time.Second) // the longest wait for a claim
+	})
+}
+
 // TestRequest guards against answers that reach the wrong request and requests that hang after a disconnect.
 func TestRequest(t *testing.T) {
 	scenario(t, func(ctx context.Context, t *testing.T) {
