--- a/daemon/forwarder/ingress_test.go
+++ b/daemon/forwarder/ingress_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -108,14 +109,14 @@
 	const key = "019b0000-0000-7000-8000-00000000000a"
 	cases := []struct {
 		name, once string
-		held       bool // the ingress side holds a snapshot
-		keys       [2]string
-		want, runs int
+		held       bool      // the ingress side holds a snapshot
+		keys, want [2]string // of two deliveries
+		runs       int
 	}{
-		{"egress says once", "true", false, [2]string{key, key}, 200, 1},
-		{"ingress knows once", "false", true, [2]string{key, strings.ToUpper(key)}, 200, 1},
-		{"no key", "false", true, [2]string{}, 400, 0},
-		{"not by a daemon", "", false, [2]string{key, key}, 400, 0},
+		{"egress says once", "true", false, [2]string{key, key}, [2]string{"502", "409"}, 1},
+		{"ingress knows once", "false", true, [2]string{key, strings.ToUpper(key)}, [2]string{"502", "409"}, 1},
+		{"no key", "false", true, [2]string{}, [2]string{"400", "400"}, 0},
+		{"not by a daemon", "", false, [2]string{key, key}, [2]string{"400", "400"}, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -123,12 +124,12 @@
 				m := newMesh(t, 0)
 				m.service = "payout"
 				var runs atomic.Int32
-				m.upstream(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+				m.upstream(func(http.ResponseWriter, *http.Request) { runs.Add(1); panic(http.ErrAbortHandler) })
 				f := m.newIngress()
 				if c.held {
 					forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot })(f)
 				}
-				for _, key := range c.keys {
+				for i, key := range c.keys {
 					req := httptest.NewRequest("POST", "http://payout", strings.NewReader("x"))
 					for name, value := range map[string]string{forwarder.HeaderClass: "urgent", forwarder.HeaderAttempt: "same",
 						forwarder.HeaderOnce: c.once, forwarder.HeaderKey: key} {
@@ -136,7 +137,7 @@
 					}
 					w := httptest.NewRecorder()
 					f.Ingress().ServeHTTP(w, req)
-					m.is.Equal(w.Code, c.want)
+					m.is.Equal(strconv.Itoa(w.Code), c.want[i])
 				}
 				m.is.Equal(int(runs.Load()), c.runs)
 			})
