Validate the class at ingress and keep idle connections when callers leave

Cause: an unknown class reached the limiter, and each caller that went away closed the idle upstream connections, which only a passed deadline calls in question. Change: ingress refuses unknown classes; idle connections close after deadlines only. Ruled out: leaving out the read deadline on HTTP/2 streams, which changed neither medians nor CPU time measurably (user time of 10000 calls 5.2-5.8 s before, 5.1-5.7 s after) and would let an incomplete body block a drain. Conclusion: go test -race -count=2 ./claimer ./forwarder passes.

--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -86,7 +87,7 @@
 	if !ok || upstream.Service != service {
 		return nil, refusal(http.StatusServiceUnavailable, NotRun, "no upstream of service %q here", service)
 	}
-	if r.Header.Get(HeaderClass) == "" || r.Header.Get(HeaderOnce) == "" {
+	if !slices.Contains(compiler.Classes(), r.Header.Get(HeaderClass)) || r.Header.Get(HeaderOnce) == "" {
 		return nil, refusal(http.StatusBadRequest, NotRun, "not a call by a daemon: %s or %s is missing", HeaderClass, HeaderOnce)
 	}
 	left, refused := readDeadline(r.Header, compiler.MaxLimit)
@@ -226,7 +227,7 @@
 		a, err = readAnswer(resp)
 	}
 	if err != nil {
-		if ctx.Err() != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			pool.reused.CloseIdleConnections() // others may be as silent as this one
 		}
 		return nil, connected.Load(), err
