--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -217,7 +217,8 @@
 	}
 	p.match = max(p.match, m.Index)
 	if p.part != nil {
-		if _, ok := c.log.term(p.match); !ok {
+		// The log may have been compacted beyond the state snapshot during its transfer; then a newer one follows.
+		if _, ok := c.log.term(p.match); !ok && p.match < p.part.Index {
 			return
 		}
 		p.part = nil
