--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -28,7 +28,7 @@
 	partBytes     = 256 << 10 // data of one state snapshot part
 	windowEntries = 4096      // entries sent ahead of the last answer
 	entryOverhead = 32        // estimated encoded size of an entry without its data
-	caughtUp      = 64        // entries that a learner may be behind when it is promoted
+	caughtUp      = 1024      // entries that a learner may be behind when it is promoted: about what one sync holds
 	compactEvery  = 8192      // entries between checkpoints
 	keepEntries   = 2048      // entries kept before a checkpoint, so that slow followers need no state snapshot
 )
--- a/controller/replicator/proposal.go
+++ b/controller/replicator/proposal.go
@@ -19,6 +19,7 @@
 type forward struct {
 	proposal
 	sent     bool
+	to       string // leader it was sent to
 	deadline uint64 // tick at which a sent proposal counts as unanswered
 }
 
@@ -78,7 +79,7 @@
 	p := c.packet(kindPropose, c.lead.ID)
 	p.Seq, p.Data = f.id, data
 	c.sendLate(c.lead.Addr, p)
-	f.sent, f.deadline = true, c.tick+answerTicks
+	f.sent, f.to, f.deadline = true, c.lead.ID, c.tick+answerTicks
 }
 
 // retryForwards sends proposals that never reached a leader and gives up on those that may have. A proposal that may
@@ -87,7 +88,7 @@
 	for _, id := range sortedKeys(c.waiting) {
 		f := c.waiting[id]
 		switch {
-		case f.sent && c.tick >= f.deadline:
+		case f.sent && (c.tick >= f.deadline || c.lead.ID != "" && c.lead.ID != f.to):
 			c.endForward(answer{id: id, err: ErrUnknown})
 		case !f.sent && c.role == leader && c.target == "":
 			delete(c.waiting, id)
--- a/controller/storer/folder.go
+++ b/controller/storer/folder.go
@@ -10,7 +10,7 @@
 
 // lock opens the folder for this process only. The kernel drops the lock when the process ends.
 func lock(folder string) (*Storer, error) {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
+	if err := makeFolder(folder); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrIO, err)
 	}
 	f, err := os.OpenFile(filepath.Join(folder, lockFile), os.O_CREATE|os.O_RDWR, 0o600)
@@ -27,6 +27,17 @@
 	return &Storer{folder: folder, lock: f}, nil
 }
 
+// makeFolder makes the folder durable too: its entry is part of the folder above.
+func makeFolder(folder string) error {
+	if _, err := os.Stat(folder); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(filepath.Clean(folder)))
+}
+
 // replace writes a file atomically: after a crash it holds either the old or the new contents.
 func (s *Storer) replace(name string, data []byte) error {
 	path := filepath.Join(s.folder, name)
