--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -176,26 +176,32 @@
 	if len(from) == 0 || (len(from) == 1 && from[0] == exclude) {
 		return nil
 	}
-	for range 3 {
-		if c := from[p.router.random(len(from))]; c != exclude && p.usable(c) {
+	alone := len(from) == 1
+	for range tries {
+		if c := from[p.router.random(len(from))]; c != exclude && p.usable(c, alone) {
 			return c
 		}
 	}
 	start := p.router.random(len(from))
 	for i := range from {
-		if c := from[(start+i)%len(from)]; c != exclude && p.usable(c) {
+		if c := from[(start+i)%len(from)]; c != exclude && p.usable(c, alone) {
 			return c
 		}
 	}
 	return nil
 }
 
-// usable reports whether a member takes part in the selection. During slow start it does so with a rising probability.
-func (p *pick) usable(c *candidate) bool {
+// usable reports whether a member takes part in the selection. A member that is slower or smaller than usual does so
+// with a lower probability, because pairs of slow members would otherwise get more calls than they can serve; this does not
+// apply to one that is alone in its failure domain. During slow start the probability rises.
+func (p *pick) usable(c *candidate, alone bool) bool {
 	if c.stats.ejected(p.now) || slices.Contains(p.skip, c.member.Name) {
 		return false
 	}
 	share := c.ramp(p.now)
+	if !alone {
+		share *= c.share(p.now, p.typical, p.group.slots)
+	}
 	return share >= 1 || p.router.random(1000) < int(share*1000)
 }
 
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -146,6 +146,27 @@
 	})
 }
 
+// TestMisleadingLoad guards against reports that take a member out or send everything to it.
+func TestMisleadingLoad(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.members = []wire.Member{member("zero"), member("huge"), member("true")}
+		reports := map[string]int{"zero": 0, "huge": 100000, "true": 10}
+		counts := make(map[string]int)
+		for range 3000 {
+			name, done := f.pick()
+			counts[name]++
+			// Ten calls are in progress on average.
+			time.AfterFunc(50*time.Millisecond, func() {
+				done(router.Outcome{Kind: router.OK, Latency: 50 * time.Millisecond, Load: reports[name]})
+			})
+			time.Sleep(5 * time.Millisecond)
+		}
+		f.Logf("shares %v", counts)
+		f.True(counts["true"] > 600)
+		f.True(counts["huge"] > 5)
+	})
+}
+
 // TestLocality guards against crossing failure domains without need, and against keeping calls in an overloaded one.
 func TestLocality(t *testing.T) {
 	cases := []struct {
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -20,6 +20,7 @@
 	source             []wire.Member
 	all, local, remote []*candidate
 	known              map[string]*candidate // ready or not, by name
+	slots              float64               // mean of all
 }
 
 // candidate is one member and the observations about it.
@@ -83,6 +84,7 @@
 			continue
 		}
 		g.all = append(g.all, c)
+		g.slots += (c.slots() - g.slots) / float64(len(g.all))
 		if m.Domain == domain {
 			g.local = append(g.local, c)
 		} else {
@@ -118,3 +120,17 @@
 	}
 	return max(0.1, float64(age)/float64(slowStart))
 }
+
+// share returns the speed of a member relative to that of the service, at most 1 and at least minShare.
+func (c *candidate) share(now time.Time, typical time.Duration, slots float64) float64 {
+	if typical <= 0 {
+		return 1
+	}
+	c.stats.mu.Lock()
+	defer c.stats.mu.Unlock()
+	if c.stats.trial(now) {
+		return 1
+	}
+	speed := c.slots() / slots * float64(typical) / c.stats.latency(now, typical)
+	return min(max(speed, minShare), 1)
+}
--- a/daemon/router/stats.go
+++ b/daemon/router/stats.go
@@ -51,11 +51,16 @@
 	// such a member is tried soon; its calls in progress keep it from being flooded.
 	unknown = 0.75
 	// maxReport bounds a reported load, in multiples of the slots, so that a wrong report does not exclude a member.
-	maxReport = 4
+	maxReport = 2
 	// maxAge bounds the age of calls in progress, in multiples of the latency, so that one long call does not send all
 	// others elsewhere.
 	maxAge = 8
 
+	// tries is the number of independent samples before a scan.
+	tries = 6
+	// minShare is the least probability with which a slow member takes part in the selection.
+	minShare = 0.1
+
 	suspectPenalty = 2
 	// rejectPenalty is the score factor for each consecutive rejection, up to maxRejections. Rejections are quick, so
 	// a member whose upstream is gone would otherwise look fast.
@@ -103,12 +108,12 @@
 // stats are the observations about one member process.
 type stats struct {
 	seen  time.Time    // when this router first saw it
-	until atomic.Int64 // end of the ejection, in nanoseconds since the Unix epoch
+	until atomic.Int64 // end of the ejection, after seen
 	fails atomic.Int32 // consecutive failures
 
 	mu         sync.Mutex
 	inflight   int
-	starts     int64 // sum of the start times of calls in progress, in nanoseconds since seen
+	starts     int64 // sum of the start times of calls in progress, in microseconds after seen
 	mean       float64
 	observed   time.Time // zero if never
 	load       int       // reported, without the own calls
@@ -123,7 +128,7 @@
 func (s *stats) begin(now time.Time) {
 	s.mu.Lock()
 	s.inflight++
-	s.starts += int64(now.Sub(s.seen))
+	s.starts += now.Sub(s.seen).Microseconds()
 	s.mu.Unlock()
 }
 
@@ -136,7 +141,7 @@
 		s.load, s.reported = max(0, o.Load-s.inflight), now
 	}
 	s.inflight--
-	s.starts -= int64(start.Sub(s.seen))
+	s.starts -= start.Sub(s.seen).Microseconds()
 	switch o.Kind {
 	case OK:
 		s.fails.Store(0)
@@ -207,8 +212,8 @@
 	expected := s.latency(now, typical)
 	if s.inflight > 0 {
 		// Calls without an answer tell about a frozen member before any of them has ended.
-		age := float64(now.Sub(s.seen)) - float64(s.starts)/float64(s.inflight)
-		expected = max(expected, min(age, maxAge*expected))
+		age := now.Sub(s.seen) - time.Duration(s.starts/int64(s.inflight))*time.Microsecond
+		expected = max(expected, min(float64(age), maxAge*expected))
 	}
 	score := (float64(s.inflight) + s.others(slots, now) + 1) / slots * expected
 	if fails := s.fails.Load(); fails > 0 {
@@ -254,7 +259,7 @@
 }
 
 func (s *stats) ejected(now time.Time) bool {
-	return now.UnixNano() < s.until.Load()
+	return now.Sub(s.seen) < time.Duration(s.until.Load())
 }
 
 // eject takes the member out and returns for how long. The time doubles unless the member held out for a while since
@@ -271,7 +276,7 @@
 	duration := min(ejectFirst<<min(s.ejections, 10), ejectLongest)
 	s.ejections++
 	s.latestBack = now.Add(duration)
-	s.until.Store(s.latestBack.UnixNano())
+	s.until.Store(int64(s.latestBack.Sub(s.seen)))
 	return duration
 }
 
