--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -144,27 +144,27 @@
 func (p *pick) choose() *candidate {
 	chosen, here := p.best(p.group.local)
 	remote, there := p.best(p.group.remote)
-	if remote != nil && (chosen == nil || p.spills(chosen, here, there)) {
+	if remote != nil && (chosen == nil || spills(here, there)) {
 		chosen, here = remote, there
 	}
-	if chosen == nil || (here > 0 && chosen.stats.failing()) {
+	if chosen == nil || (here.score > 0 && chosen.stats.failing()) {
 		return p.least()
 	}
 	return chosen
 }
 
 // best returns the better of two random members, or nil if none may be used.
-func (p *pick) best(from []*candidate) (*candidate, float64) {
+func (p *pick) best(from []*candidate) (*candidate, cost) {
 	first := p.sample(from, nil)
 	if first == nil {
-		return nil, 0
+		return nil, cost{}
 	}
-	a := first.stats.score(first, p.now, p.typical)
+	a := first.stats.cost(first, p.now, p.typical)
 	second := p.sample(from, first)
 	if second == nil {
 		return first, a
 	}
-	if b := second.stats.score(second, p.now, p.typical); b < a {
+	if b := second.stats.cost(second, p.now, p.typical); b.score < a.score {
 		return second, b
 	}
 	return first, a
@@ -176,38 +176,47 @@
 	if len(from) == 0 || (len(from) == 1 && from[0] == exclude) {
 		return nil
 	}
-	for range 3 {
-		if c := from[p.router.random(len(from))]; c != exclude && p.usable(c) {
+	alone := len(from) == 1
+	for range tries {
+		if c := from[p.router.random(len(from))]; c != exclude && p.usable(c, alone) {
 			return c
 		}
 	}
 	start := p.router.random(len(from))
 	for i := range from {
-		if c := from[(start+i)%len(from)]; c != exclude && p.usable(c) {
+		if c := from[(start+i)%len(from)]; c != exclude && p.usable(c, alone) {
 			return c
 		}
 	}
 	return nil
 }
 
-// usable reports whether a member takes part in the selection. During slow start it does so with a rising probability.
-func (p *pick) usable(c *candidate) bool {
+// usable reports whether a member takes part in the selection. A member that is slower or smaller than usual does so
+// with a lower probability, because pairs of slow members would otherwise get more calls than they can serve; this does not
+// apply to one that is alone in its failure domain. During slow start the probability rises.
+func (p *pick) usable(c *candidate, alone bool) bool {
 	if c.stats.ejected(p.now) || slices.Contains(p.skip, c.member.Name) {
 		return false
 	}
 	share := c.ramp(p.now)
+	if !alone {
+		share *= c.share(p.now, p.typical, p.group.slots)
+	}
 	return share >= 1 || p.router.random(1000) < int(share*1000)
 }
 
 // spills reports whether a call goes to another failure domain although the own one has a member.
-func (p *pick) spills(local *candidate, here, there float64) bool {
-	if local.stats.rejects(p.now) {
+func spills(here, there cost) bool {
+	if here.rejects {
 		return true
 	}
-	if local.stats.utilisation(local, p.now) < busy {
-		return here > idleSpill*there
+	if there.score == 0 {
+		return false // A trial may take long to fail, so it is not worth leaving the domain for.
+	}
+	if here.utilisation < busy {
+		return here.latency > idleSpill*there.latency
 	}
-	return here > busySpill*there
+	return here.score > busySpill*there.score
 }
 
 // least returns the best member regardless of ejection and slow start, or nil if all were tried before. Members that
@@ -219,7 +228,7 @@
 		if slices.Contains(p.skip, c.member.Name) {
 			continue
 		}
-		score := c.stats.score(c, p.now, p.typical)
+		score := c.stats.cost(c, p.now, p.typical).score
 		if c.stats.ejected(p.now) {
 			score *= ejectedPenalty
 		}
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,13 +17,15 @@
 	"bluebellhoist/daemon/router"
 )
 
+const ms = time.Millisecond
+
 // member returns a ready member of service "seller" whose slow start is over.
 func member(name string, edits ...func(*wire.Member)) wire.Member {
 	m := wire.Member{
 		Name: name, Domain: "buk", Service: "seller", State: "alive", Ready: true, Slots: 20,
-		Addr:  netip.MustParseAddrPort("127.0.0.1:1"),
-		Since: time.Now().Add(-time.Hour).UnixMilli(),
+		Addr: netip.MustParseAddrPort("127.0.0.1:1"),
 	}
+	since(time.Hour)(&m)
 	for _, edit := range edits {
 		edit(&m)
 	}
@@ -32,59 +36,75 @@
 	return func(m *wire.Member) { m.Domain = domain }
 }
 
-// fixture is a router over a slice of members that the test may replace.
+func since(age time.Duration) func(*wire.Member) {
+	return func(m *wire.Member) { m.Since = time.Now().Add(-age).UnixMilli() }
+}
+
+// fixture is a router over members that the test may replace.
 type fixture struct {
-	*testing.T
 	*is.I
 	router  *router.Router
 	members []wire.Member
+	ejected atomic.Int32 // number of ejections
 }
 
-func run(t *testing.T, test func(f *fixture)) {
+func run(t *testing.T, name string, members []wire.Member, test func(f *fixture)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{T: t, I: is.New(t)}
-		random := rand.New(rand.NewPCG(1, 2))
-		f.router = router.New(
-			router.WithMembers(func() []wire.Member { return f.members }),
-			router.WithDomain("buk"),
-			router.WithRandom(random.IntN),
-		)
-		test(f)
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fixture{I: is.New(t), members: slices.Clone(members)}
+			for i := range f.members {
+				since(time.Hour)(&f.members[i]) // by the clock of this test
+			}
+			f.router = router.New(
+				router.WithMembers(func() []wire.Member { return f.members }),
+				router.WithDomain("buk"),
+				router.WithRandom(rand.New(rand.NewPCG(1, 2)).IntN),
+				router.WithEjected(func(wire.Member, time.Duration) { f.ejected.Add(1) }),
+			)
+			test(f)
+		})
 	})
 }
 
 // pick returns the name of a picked member and the function that ends the call.
 func (f *fixture) pick(skip ...string) (string, func(router.Outcome)) {
-	f.T.Helper()
+	f.Helper()
 	m, done, err := f.router.Pick("seller", skip)
 	f.NoErr(err) // a member is picked
 	return m.Name, done
 }
 
-// shares makes calls one after the other and counts them by member. answer gives the outcome for a member.
-func (f *fixture) shares(calls int, answer func(name string) router.Outcome) map[string]int {
-	f.T.Helper()
+// missing expects that no member is picked, for a reason.
+func (f *fixture) missing(reason string, skip ...string) {
+	f.Helper()
+	_, _, err := f.router.Pick("seller", skip)
+	f.True(errors.Is(err, router.ErrNoMember))
+	f.True(strings.Contains(err.Error(), reason))
+}
+
+// answers holds the outcome of calls by member. Members that are not in it take 4 ms.
+type answers map[string]router.Outcome
+
+// shares makes a call every 5 ms and counts the calls by member.
+func (f *fixture) shares(calls int, given answers) map[string]int {
+	f.Helper()
 	counts := make(map[string]int)
 	for range calls {
 		name, done := f.pick()
 		counts[name]++
-		o := answer(name)
-		time.Sleep(o.Latency)
-		done(o)
+		o, ok := given[name]
+		if !ok {
+			o = router.Outcome{Latency: 4 * ms, Load: -1}
+		}
+		time.AfterFunc(o.Latency, func() { done(o) })
+		time.Sleep(5 * ms)
 	}
 	return counts
 }
 
-func ok(latency time.Duration) router.Outcome {
-	return router.Outcome{Kind: router.OK, Latency: latency, Load: -1}
-}
-
-// steady answers every call in the same time.
-func steady(string) router.Outcome { return ok(5 * time.Millisecond) }
-
-// TestPickSelectsReady guards against calls to members that leave, died, are not ready or serve something else.
-func TestPickSelectsReady(t *testing.T) {
+// TestReady guards against calls to members that leave, died, are not ready or serve something else.
+func TestReady(t *testing.T) {
 	cases := []struct {
 		name string
 		edit func(*wire.Member)
@@ -94,170 +114,172 @@
 		{"dead", func(m *wire.Member) { m.State = "dead" }, "none of these alive"},
 		{"not ready", func(m *wire.Member) { m.Ready = false }, "0 ready"},
 		{"other service", func(m *wire.Member) { m.Service = "stock" }, "no upstream is announced"},
-		{"suspect", func(m *wire.Member) { m.State = "suspect" }, ""},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			run(t, func(f *fixture) {
-				f.members = []wire.Member{member("a")}
-				f.pick() // the index is built before the change
-				f.members = []wire.Member{member("a", c.edit)}
-				_, _, err := f.router.Pick("seller", nil)
-				if c.want == "" {
-					f.NoErr(err)
-					return
-				}
-				f.True(errors.Is(err, router.ErrNoMember))
-				f.True(strings.Contains(err.Error(), c.want)) // the text names the reason
-			})
+		run(t, c.name, []wire.Member{member("a")}, func(f *fixture) {
+			f.pick() // the index is built before the change
+			f.members = []wire.Member{member("a", c.edit)}
+			f.missing(c.want)
+			f.members = []wire.Member{member("a", func(m *wire.Member) { m.State = "suspect" })}
+			f.pick()
 		})
 	}
 }
 
-// TestPickSkips guards against a retry at a member that was tried.
-func TestPickSkips(t *testing.T) {
-	run(t, func(f *fixture) {
-		f.members = []wire.Member{member("a"), member("b"), member("c", in("dalseo"))}
+// TestSkip guards against a retry at a member that was tried, and against calls that end twice.
+func TestSkip(t *testing.T) {
+	run(t, "tried", []wire.Member{member("a"), member("b"), member("c")}, func(f *fixture) {
 		for range 20 {
-			name, _ := f.pick("a", "b")
+			name, done := f.pick("a", "b")
 			f.Equal(name, "c")
+			done(router.Outcome{Kind: router.Canceled})
+			done(router.Outcome{Kind: router.Canceled})
 		}
-		_, _, err := f.router.Pick("seller", []string{"a", "b", "c"})
-		f.True(errors.Is(err, router.ErrNoMember))
+		f.True(f.shares(100, nil)["c"] < 60) // the score of c did not fall below zero
+		f.missing("all 3 ready members were tried", "a", "b", "c")
 	})
 }
 
-// TestFrozenMember guards against a member that takes calls and never answers: two stuck calls must end its share.
-func TestFrozenMember(t *testing.T) {
-	run(t, func(f *fixture) {
-		f.members = []wire.Member{member("a"), member("b"), member("frozen")}
-		f.shares(200, steady)
-		stuck := 0
-		for range 300 {
-			name, done := f.pick()
-			time.Sleep(5 * time.Millisecond)
-			if name == "frozen" {
-				stuck++
-				continue
-			}
-			done(ok(5 * time.Millisecond))
-		}
-		f.True(stuck <= 2) // few calls get stuck
-	})
-}
-
-// TestLocality guards against crossing failure domains without need, and against keeping calls in an overloaded one.
-func TestLocality(t *testing.T) {
+// TestShares guards against members that get too many or too few of 1,000 calls, one every 5 ms.
+func TestShares(t *testing.T) {
+	busy := router.Outcome{Latency: 50 * ms, Load: -1} // ten calls are in progress
+	far := router.Outcome{Latency: 12 * ms, Load: -1}
+	pair := []wire.Member{member("a"), member("b")}
+	domains := []wire.Member{member("a"), member("far1", in("dalseo")), member("far2", in("suseong"))}
 	cases := []struct {
-		name  string
-		local func(i int) router.Outcome
-		low   int // bounds of the local share in 300 calls
-		high  int
+		name      string
+		members   []wire.Member
+		given     answers
+		low, high int // bounds of the calls that a gets
 	}{
-		{"local accepts", func(int) router.Outcome { return ok(5 * time.Millisecond) }, 300, 300},
-		{"local is slower", func(int) router.Outcome { return ok(20 * time.Millisecond) }, 290, 300},
-		{"local rejects", func(int) router.Outcome { return router.Outcome{Kind: router.Rejected, Load: 40} }, 1, 30},
-		{"local is overloaded", func(int) router.Outcome {
-			return router.Outcome{Kind: router.OK, Latency: 20 * time.Millisecond, Load: 60}
-		}, 1, 60},
+		{"equal", pair, answers{"a": busy, "b": busy}, 450, 550},
+		{"fast and slow", pair, answers{"a": busy, "b": {Latency: 150 * ms, Load: -1}}, 700, 950},
+		{"no answers", pair, answers{"a": {Latency: time.Hour}}, 1, 3},
+		{"few slots", []wire.Member{member("a", func(m *wire.Member) { m.Slots = 5 }), member("b")}, answers{"a": busy, "b": busy}, 100, 250},
+		{"reports the calls of this daemon", pair, answers{"a": {Latency: 50 * ms, Load: 5}, "b": busy}, 450, 550},
+		{"reports too much", pair, answers{"a": {Latency: 50 * ms, Load: 100000}, "b": busy}, 10, 200},
+		{"reports too little", pair, answers{"a": {Latency: 50 * ms}, "b": {Latency: 50 * ms, Load: 10}}, 500, 950},
+		{"rejects at once", pair, answers{"a": {Kind: router.Rejected}}, 1, 7},
+		{"fails at once", pair, answers{"a": {Kind: router.Failed, Load: -1}}, 1, 5},
+		{"domain accepts", domains, answers{}, 1000, 1000},
+		{"domain is slower", domains, answers{"a": {Latency: 12 * ms, Load: -1}}, 1000, 1000},
+		{"domain does not answer", domains, answers{"a": {Latency: time.Hour}}, 1, 5},
+		{"domain rejects", domains, answers{"a": {Kind: router.Rejected}, "far1": far, "far2": far}, 1, 7},
+		{"domain is overloaded", domains, answers{"a": {Latency: 12 * ms, Load: 60}}, 1, 50},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			run(t, func(f *fixture) {
-				f.members = []wire.Member{member("near"), member("far1", in("dalseo")), member("far2", in("suseong"))}
-				i := 0
-				counts := f.shares(300, func(name string) router.Outcome {
-					i++
-					if name == "near" {
-						return c.local(i)
-					}
-					return ok(6 * time.Millisecond)
-				})
-				f.Logf("shares %v", counts)
-				f.True(counts["near"] >= c.low)
-				f.True(counts["near"] <= c.high)
-			})
+		run(t, c.name, c.members, func(f *fixture) {
+			f.shares(60, nil)
+			got := f.shares(1000, c.given)["a"]
+			t.Logf("%s: %d of 1000", c.name, got)
+			f.True(got >= c.low)
+			f.True(got <= c.high)
 		})
 	}
 }
 
+// TestNewcomer guards against a default that floods a member without observations or avoids it.
+func TestNewcomer(t *testing.T) {
+	run(t, "between known members", []wire.Member{member("a"), member("b")}, func(f *fixture) {
+		f.shares(100, nil)
+		f.members = append(f.members[:2:2], member("new"))
+		got := f.shares(24, answers{"a": {Latency: time.Second}, "b": {Latency: time.Second}, "new": {Latency: time.Second}})
+		t.Logf("calls %v", got)
+		f.True(got["new"] >= 8 && got["new"] <= 16)
+	})
+	run(t, "one at a time", []wire.Member{member("a"), member("b")}, func(f *fixture) {
+		f.shares(100, answers{"a": {Latency: 4 * ms}, "b": {Latency: 3 * ms}})
+		f.members = append(f.members[:2:2], member("new"))
+		f.True(f.shares(10, nil)["new"] >= 1)
+	})
+}
+
+// TestRecovery guards against a member that was slow once and never gets work again.
+func TestRecovery(t *testing.T) {
+	run(t, "slow for a time", []wire.Member{member("a"), member("b")}, func(f *fixture) {
+		f.shares(100, answers{"a": {Latency: 100 * ms, Load: -1}})
+		f.shares(12000, nil) // a minute
+		f.True(f.shares(300, nil)["a"] >= 50)
+	})
+}
+
 // TestEjection guards against a member that fails quickly and so attracts calls. It is out for 5 s, then for 10 s after
-// a failed trial, and comes back after a good one.
+// a failed trial, and comes back after a good one or with a new process.
 func TestEjection(t *testing.T) {
 	cases := []struct {
 		name     string
 		kind     router.Kind
 		failures int
+		restart  bool
 	}{
-		{"five failures", router.Failed, 5},
-		{"failed connect", router.Unreachable, 1},
+		{"five failures", router.Failed, 5, false},
+		{"failed connect", router.Unreachable, 1, false},
+		{"restart", router.Unreachable, 1, true},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			run(t, func(f *fixture) {
-				f.members = []wire.Member{member("a"), member("b"), member("bad")}
-				f.shares(30, steady)
-				broken := true
-				answer := func(name string) router.Outcome {
-					if name == "bad" && broken {
-						return router.Outcome{Kind: c.kind, Load: -1}
-					}
-					return ok(5 * time.Millisecond)
-				}
-				for range c.failures {
-					_, done := f.pick("a", "b")
-					done(answer("bad"))
-				}
-				f.Equal(f.shares(990, answer)["bad"], 0)  // ejected for 4.95 s
-				f.Equal(f.shares(100, answer)["bad"], 1)  // one trial
-				f.Equal(f.shares(1900, answer)["bad"], 0) // ejected for twice as long
-				broken = false
-				f.shares(100, answer)
-				f.True(f.shares(300, answer)["bad"] >= 50) // back
-			})
+		run(t, c.name, []wire.Member{member("a"), member("b"), member("bad")}, func(f *fixture) {
+			f.shares(30, answers{"bad": {Latency: 100 * ms, Load: -1}}) // its latency alone would keep it out for long
+			broken := answers{"bad": {Kind: c.kind, Load: -1}}
+			for range c.failures {
+				_, done := f.pick("a", "b")
+				done(broken["bad"])
+			}
+			if c.restart {
+				f.members = append(f.members[:2:2], member("bad", since(0)))
+				f.True(f.shares(990, nil)["bad"] > 0)
+				return
+			}
+			f.Equal(f.shares(990, broken)["bad"], 0)  // ejected for 4.95 s
+			f.Equal(f.shares(100, broken)["bad"], 1)  // one trial
+			f.Equal(f.shares(1900, broken)["bad"], 0) // ejected for twice as long
+			f.True(f.shares(6000, nil)["bad"] >= 1)
+			f.True(f.shares(300, nil)["bad"] >= 50) // back after 30 s
 		})
 	}
 }
 
-// TestAllFail guards against a service without any member to try: at most half are ejected, and the least bad one
-// takes the call if the others were tried.
-func TestAllFail(t *testing.T) {
-	run(t, func(f *fixture) {
-		f.members = []wire.Member{member("a"), member("b"), member("c"), member("d")}
-		counts := f.shares(400, func(string) router.Outcome {
-			return router.Outcome{Kind: router.Unreachable, Latency: time.Millisecond}
-		})
-		tried := 0
-		for _, n := range counts {
-			if n > 50 {
-				tried++
-			}
+// TestManyFail guards against a service without any member to try: at most half are ejected, the working ones get the
+// calls, and the least bad one is tried if there is no other.
+func TestManyFail(t *testing.T) {
+	var members []wire.Member
+	given := make(answers)
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	for _, name := range names {
+		members = append(members, member(name))
+		given[name] = router.Outcome{Kind: router.Unreachable, Latency: ms}
+	}
+	run(t, "all", members, func(f *fixture) {
+		f.shares(900, given)
+		f.Equal(f.ejected.Load(), int32(3))
+		for i := range names {
+			name, _ := f.pick(slices.Delete(slices.Clone(names), i, i+1)...)
+			f.Equal(name, names[i])
 		}
-		f.True(tried >= 2) // half of the members still take calls
-		for _, skip := range [][]string{{"a", "b", "c"}, {"b", "c", "d"}, {"a", "c", "d"}, {"a", "b", "d"}} {
-			f.pick(skip...)
+	})
+	run(t, "other domains", []wire.Member{member("a"), member("far1", in("dalseo")), member("far2", in("suseong"))}, func(f *fixture) {
+		for range 10 {
+			_, done := f.pick("a")
+			done(router.Outcome{Kind: router.Unreachable})
 		}
+		time.Sleep(time.Minute)
+		f.Equal(f.shares(100, nil)["a"], 100) // no trial while the own domain accepts
+	})
+	delete(given, "f")
+	run(t, "all but one", members, func(f *fixture) {
+		f.shares(50, given)
+		f.True(f.shares(500, given)["f"] >= 490)
 	})
 }
 
 // TestSlowStart guards against a cold member that gets a full share at once, also if its clock is ahead.
 func TestSlowStart(t *testing.T) {
 	for _, skew := range []time.Duration{0, time.Hour} {
-		t.Run(skew.String(), func(t *testing.T) {
-			run(t, func(f *fixture) {
-				f.members = []wire.Member{member("a"), member("b")}
-				f.shares(100, steady)
-				cold := member("cold", func(m *wire.Member) { m.Since = time.Now().Add(skew).UnixMilli() })
-				f.members = []wire.Member{member("a"), member("b"), cold}
-				var ramp []int
-				for range 3 {
-					ramp = append(ramp, f.shares(1000, steady)["cold"]) // 5 s each
-				}
-				f.Logf("shares of 1000 calls: %v", ramp)
-				f.True(ramp[0] > 20)
-				f.True(ramp[0] < ramp[1] && ramp[1] < ramp[2])
-				f.True(ramp[2] > 250)
-			})
+		run(t, skew.String(), []wire.Member{member("a"), member("b")}, func(f *fixture) {
+			f.shares(100, nil)
+			f.members = append(f.members[:2:2], member("cold", since(-skew)))
+			first, second, third := f.shares(1000, nil)["cold"], f.shares(1000, nil)["cold"], f.shares(1000, nil)["cold"]
+			t.Logf("calls of 1000 in 5 s each: %d, %d, %d", first, second, third)
+			f.True(first > 20 && first < second && second < third && third > 250)
 		})
 	}
 }
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -20,6 +20,7 @@
 	source             []wire.Member
 	all, local, remote []*candidate
 	known              map[string]*candidate // ready or not, by name
+	slots              float64               // mean of all
 }
 
 // candidate is one member and the observations about it.
@@ -83,6 +84,7 @@
 			continue
 		}
 		g.all = append(g.all, c)
+		g.slots += (c.slots() - g.slots) / float64(len(g.all))
 		if m.Domain == domain {
 			g.local = append(g.local, c)
 		} else {
@@ -93,20 +95,18 @@
 }
 
 // eject takes a failing member out of the selection, unless half of the members are out, and returns for how long.
+// The lock keeps concurrent failures from passing that bound.
 func (s *service) eject(c *candidate, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := s.group.Load().all
 	out := 1
 	for _, other := range all {
-		if other != c && other.stats != c.stats && other.stats.ejected(now) {
+		if other.stats != c.stats && other.stats.ejected(now) {
 			out++
 		}
 	}
-	if 2*out > len(all) {
-		return 0
-	}
-	return c.stats.eject(now)
+	return c.stats.eject(2*out <= len(all), now)
 }
 
 // ramp returns the share of its work that a member takes during slow start.
@@ -118,3 +118,17 @@
 	}
 	return max(0.1, float64(age)/float64(slowStart))
 }
+
+// share returns the speed of a member relative to that of the service, at most 1 and at least minShare.
+func (c *candidate) share(now time.Time, typical time.Duration, slots float64) float64 {
+	if typical <= 0 {
+		return 1
+	}
+	c.stats.mu.Lock()
+	defer c.stats.mu.Unlock()
+	if c.stats.trial(now) {
+		return 1
+	}
+	speed := c.slots() / slots * float64(typical) / c.stats.latency(now, typical)
+	return min(max(speed, minShare), 1)
+}
--- a/daemon/router/stats.go
+++ b/daemon/router/stats.go
@@ -51,11 +51,16 @@
 	// such a member is tried soon; its calls in progress keep it from being flooded.
 	unknown = 0.75
 	// maxReport bounds a reported load, in multiples of the slots, so that a wrong report does not exclude a member.
-	maxReport = 4
+	maxReport = 2
 	// maxAge bounds the age of calls in progress, in multiples of the latency, so that one long call does not send all
 	// others elsewhere.
 	maxAge = 8
 
+	// tries is the number of independent samples before a scan.
+	tries = 6
+	// minShare is the least probability with which a slow member takes part in the selection.
+	minShare = 0.1
+
 	suspectPenalty = 2
 	// rejectPenalty is the score factor for each consecutive rejection, up to maxRejections. Rejections are quick, so
 	// a member whose upstream is gone would otherwise look fast.
@@ -68,10 +73,10 @@
 
 	// busy is the share of slots in use from which calls may queue at a member.
 	busy = 0.75
-	// idleSpill and busySpill are the ratios of scores at which another failure domain is used: early if calls queue
-	// here, late if the member has free slots and is only slower.
-	idleSpill = 8
+	// busySpill is the ratio of scores at which another failure domain is used if calls may queue here. idleSpill is
+	// the ratio of latencies at which it is used although the member has free slots, for example because it hangs.
 	busySpill = 2
+	idleSpill = 4
 )
 
 // latency is a moving average in which old values fade with time.
@@ -103,12 +108,12 @@
 // stats are the observations about one member process.
 type stats struct {
 	seen  time.Time    // when this router first saw it
-	until atomic.Int64 // end of the ejection, in nanoseconds since the Unix epoch
+	until atomic.Int64 // end of the ejection, after seen
 	fails atomic.Int32 // consecutive failures
 
 	mu         sync.Mutex
 	inflight   int
-	starts     int64 // sum of the start times of calls in progress, in nanoseconds since seen
+	starts     int64 // sum of the start times of calls in progress, in microseconds after seen
 	mean       float64
 	observed   time.Time // zero if never
 	load       int       // reported, without the own calls
@@ -117,13 +122,13 @@
 	rejections int // consecutive
 	failed     time.Time
 	ejections  int
-	latestBack time.Time // end of the last ejection
+	retry      time.Time // a failing member is not tried before
 }
 
 func (s *stats) begin(now time.Time) {
 	s.mu.Lock()
 	s.inflight++
-	s.starts += int64(now.Sub(s.seen))
+	s.starts += now.Sub(s.seen).Microseconds()
 	s.mu.Unlock()
 }
 
@@ -136,7 +141,7 @@
 		s.load, s.reported = max(0, o.Load-s.inflight), now
 	}
 	s.inflight--
-	s.starts -= int64(start.Sub(s.seen))
+	s.starts -= start.Sub(s.seen).Microseconds()
 	switch o.Kind {
 	case OK:
 		s.fails.Store(0)
@@ -149,7 +154,7 @@
 	case Canceled:
 		s.slower(o.Latency, now, typical)
 		if s.failing() {
-			s.failed = now // The next trial waits again.
+			s.retry = now.Add(ejectFirst)
 		}
 	case Failed:
 		s.failed = now
@@ -168,6 +173,10 @@
 	if s.observed.IsZero() {
 		s.mean = (float64(d) + float64(typical)) / 2
 	} else {
+		if now.Sub(s.observed) > forget {
+			// An old average that was slow would outweigh the call that shows the recovery.
+			s.mean = s.latency(now, typical)
+		}
 		weight := max(minWeight, 1-fade(now.Sub(s.observed), forget))
 		s.mean += weight * (float64(d) - s.mean)
 	}
@@ -181,12 +190,12 @@
 	}
 }
 
-// latency returns the expected latency. Without recent observations it approaches that of the service, so that a
+// latency returns the expected latency. Without recent observations it approaches that of an unknown member, so that a
 // member which was slow is tried again.
 func (s *stats) latency(now time.Time, typical time.Duration) float64 {
-	usual := max(float64(typical), 1)
+	usual := unknown * max(float64(typical), 1)
 	if s.observed.IsZero() {
-		return unknown * usual
+		return usual
 	}
 	return max(1, usual+(s.mean-usual)*fade(now.Sub(s.observed), forget))
 }
@@ -196,56 +205,51 @@
 	return min(float64(s.load), maxReport*slots) * fade(now.Sub(s.reported), forgetLoad)
 }
 
-// score returns the expected cost of one more call; lower is better. A member on trial is chosen before all others.
-func (s *stats) score(c *candidate, now time.Time, typical time.Duration) float64 {
+// cost is what one more call at a member is expected to cost; lower is better.
+type cost struct {
+	score       float64
+	latency     float64 // with penalties, without the load
+	utilisation float64 // share of the slots in use, above 1 if calls queue
+	rejects     bool    // a call was rejected lately
+}
+
+// cost returns the expected cost of one more call. A member on trial costs nothing, so that it is chosen.
+func (s *stats) cost(c *candidate, now time.Time, typical time.Duration) cost {
 	slots := c.slots()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.trial(now) {
-		return 0
+		return cost{}
 	}
 	expected := s.latency(now, typical)
 	if s.inflight > 0 {
 		// Calls without an answer tell about a frozen member before any of them has ended.
-		age := float64(now.Sub(s.seen)) - float64(s.starts)/float64(s.inflight)
-		expected = max(expected, min(age, maxAge*expected))
+		age := now.Sub(s.seen) - time.Duration(s.starts/int64(s.inflight))*time.Microsecond
+		expected = max(expected, min(float64(age), maxAge*expected))
 	}
-	score := (float64(s.inflight) + s.others(slots, now) + 1) / slots * expected
 	if fails := s.fails.Load(); fails > 0 {
 		rest := max(0, 1-float64(now.Sub(s.failed))/float64(ejectFirst))
-		score *= 1 + failurePenalty*float64(min(fails, 2*ejectAfter))*rest
+		expected *= 1 + failurePenalty*float64(min(fails, 2*ejectAfter))*rest
 	}
-	if s.rejecting(now) {
-		score *= rejectPenalty * float64(min(s.rejections, maxRejections))
+	rejects := s.rejects(now)
+	if rejects {
+		expected *= rejectPenalty * float64(min(s.rejections, maxRejections))
 	}
 	if c.member.State == "suspect" {
-		score *= suspectPenalty
+		expected *= suspectPenalty
 	}
-	return score
-}
-
-// utilisation returns the share of the slots in use, which is above 1 if calls queue.
-func (s *stats) utilisation(c *candidate, now time.Time) float64 {
-	slots := c.slots()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return (float64(s.inflight) + s.others(slots, now)) / slots
+	load := float64(s.inflight) + s.others(slots, now)
+	return cost{score: (load + 1) / slots * expected, latency: expected, utilisation: load / slots, rejects: rejects}
 }
 
 // rejects reports whether the member rejected a call lately.
 func (s *stats) rejects(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rejecting(now)
-}
-
-func (s *stats) rejecting(now time.Time) bool {
 	return !s.rejected.IsZero() && now.Sub(s.rejected) < rejectWindow
 }
 
 // trial reports whether the next call should test whether a failing member works again. Only one call at a time does.
 func (s *stats) trial(now time.Time) bool {
-	return s.failing() && s.inflight == 0 && now.Sub(s.failed) >= ejectFirst
+	return s.failing() && s.inflight == 0 && !now.Before(s.retry)
 }
 
 // failing reports whether the member failed too often and no call has succeeded since.
@@ -254,24 +258,27 @@
 }
 
 func (s *stats) ejected(now time.Time) bool {
-	return now.UnixNano() < s.until.Load()
+	return now.Sub(s.seen) < time.Duration(s.until.Load())
 }
 
-// eject takes the member out and returns for how long. The time doubles unless the member held out for a while since
-// the last time. Calls that were under way when the member was ejected don't prolong it.
-func (s *stats) eject(now time.Time) time.Duration {
+// eject puts off the next trial and returns for how long. If allowed, the member takes no calls until then. The time
+// doubles unless the member held out for a while since the last time. Calls that were under way don't prolong it.
+func (s *stats) eject(allowed bool, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ejected(now) {
+	if now.Before(s.retry) {
 		return 0
 	}
-	if now.Sub(s.latestBack) > ejectLongest {
+	if now.Sub(s.retry) > ejectLongest {
 		s.ejections = 0
 	}
 	duration := min(ejectFirst<<min(s.ejections, 10), ejectLongest)
 	s.ejections++
-	s.latestBack = now.Add(duration)
-	s.until.Store(s.latestBack.UnixNano())
+	s.retry = now.Add(duration)
+	if !allowed {
+		return 0
+	}
+	s.until.Store(int64(s.retry.Sub(s.seen)))
 	return duration
 }
 
