Reach the controllers that are left within the time for a change

Cause: each failed connect doubled the pause and a connect to a cut-off controller took 3 s, so 11 unreachable controllers of 12 took over 14 s. Change: controllers are tried in rounds, own failure domain first, then own region; the pause grows per round only; a connect takes at most 1 s. Measured: TestFewControllersLeft fails with the former 3 s and passes with 1 s.

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -85,6 +85,7 @@
 	d := &daemon{settings: s, log: log}
 	d.subscriber = subscriber.New(
 		subscriber.WithName(s.Name, s.Domain, s.Batch),
+		subscriber.WithRegion(s.Region),
 		subscriber.WithControllers(s.Controllers...),
 		subscriber.WithFolder(s.Data),
 		subscriber.WithOnHeld(d.onHeld),
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -17,6 +17,7 @@
 type settings struct {
 	Name        string                  `json:"name"`
 	Domain      string                  `json:"domain"`
+	Region      string                  `json:"region"` // optional
 	Batch       string                  `json:"batch"`
 	Calls       netip.AddrPort          `json:"calls"`
 	Peers       netip.AddrPort          `json:"peers"`
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,9 +28,12 @@
 	// AnswerLimit is the time after which an unanswered request makes a session without any other frame suspect.
 	AnswerLimit = 900 * time.Millisecond
 
-	minBackoff   = 200 * time.Millisecond
-	maxBackoff   = 10 * time.Second
-	dialTimeout  = 3 * time.Second
+	minBackoff = 200 * time.Millisecond
+	maxBackoff = 10 * time.Second
+	// roundPause bounds the jitter between two controllers of one round.
+	roundPause = 100 * time.Millisecond
+	// dialTimeout lets a round over 12 controllers, of which 11 are cut off, end within the 14 s for a change.
+	dialTimeout  = time.Second
 	writeTimeout = 5 * time.Second
 )
 
@@ -46,12 +50,14 @@
 type Controller struct {
 	Addr   netip.AddrPort `json:"addr"`
 	Domain string         `json:"domain"`
+	Region string         `json:"region"` // optional
 }
 
 // Subscriber follows the configuration of one batch.
 type Subscriber struct {
 	name        string
 	domain      string
+	region      string
 	batch       string
 	controllers []Controller
 	store       store
@@ -72,6 +78,11 @@
 	return func(s *Subscriber) { s.name, s.domain, s.batch = name, domain, batch }
 }
 
+// WithRegion sets the region of the daemon, whose controllers come before those of other regions.
+func WithRegion(region string) Option {
+	return func(s *Subscriber) { s.region = region }
+}
+
 // WithControllers sets the controllers to choose from.
 func WithControllers(controllers ...Controller) Option {
 	return func(s *Subscriber) { s.controllers = controllers }
@@ -130,24 +141,42 @@
 	}
 	backoff := minBackoff
 	for {
-		for _, c := range s.order() {
-			established, err := s.connect(ctx, c)
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			s.log.Info("session ended", "controller", c.Addr, "error", err)
-			if established {
-				backoff = minBackoff
-			}
-			// Full jitter spreads the reconnects of all daemons when a controller dies.
-			if err := sleep(ctx, time.Duration(s.random.Int64N(int64(backoff)))); err != nil {
-				return err
-			}
-			backoff = min(2*backoff, maxBackoff)
+		established, err := s.round(ctx)
+		if err != nil {
+			return err
+		}
+		if established {
+			backoff = minBackoff
 		}
+		// Full jitter spreads the reconnects of all daemons when the controllers die.
+		if err := s.pause(ctx, backoff); err != nil {
+			return err
+		}
+		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// round tries each controller once and reports whether any answered.
+func (s *Subscriber) round(ctx context.Context) (bool, error) {
+	answered := false
+	for _, c := range s.order() {
+		established, err := s.connect(ctx, c)
+		if ctx.Err() != nil {
+			return answered, ctx.Err()
+		}
+		s.log.Info("session ended", "controller", c.Addr, "error", err)
+		answered = answered || established
+		if err := s.pause(ctx, roundPause); err != nil {
+			return answered, err
+		}
+	}
+	return answered, nil
+}
+
+func (s *Subscriber) pause(ctx context.Context, limit time.Duration) error {
+	return sleep(ctx, time.Duration(s.random.Int64N(int64(limit))))
+}
+
 // restore puts the stored snapshot in effect.
 func (s *Subscriber) restore() error {
 	stored, err := s.store.load()
@@ -165,17 +194,20 @@
 	return nil
 }
 
-// order returns the controllers in random order, those of the own failure domain first.
+// order returns the controllers in random order, those of the own failure domain first and then those of the region.
 func (s *Subscriber) order() []Controller {
-	var near, far []Controller
+	var domain, region, far []Controller
 	for _, i := range s.random.Perm(len(s.controllers)) {
-		if c := s.controllers[i]; c.Domain == s.domain {
-			near = append(near, c)
-		} else {
+		switch c := s.controllers[i]; {
+		case c.Domain == s.domain:
+			domain = append(domain, c)
+		case s.region != "" && c.Region == s.region:
+			region = append(region, c)
+		default:
 			far = append(far, c)
 		}
 	}
-	return append(near, far...)
+	return slices.Concat(domain, region, far)
 }
 
 // take puts the snapshot of a frame in effect if it is newer and valid.
--- a/daemon/subscriber/subscriber_test.go
+++ b/daemon/subscriber/subscriber_test.go
@@ -344,6 +344,33 @@
 	}
 }
 
+// TestFewControllersLeft guards against a daemon that spends the time for a change on controllers that are cut off.
+func TestFewControllersLeft(t *testing.T) {
+	scenario(t, func(ctx context.Context, t *testing.T) {
+		alive := newController(ctx, t, func(p *peer) {
+			p.next()
+			p.send(full(6, "a"))
+			p.drain()
+		})
+		controllers := []subscriber.Controller{far}
+		for port := range uint16(11) {
+			addr := netip.AddrPortFrom(far.Addr.Addr(), 100+port)
+			controllers = append(controllers, subscriber.Controller{Addr: addr, Domain: "here"})
+		}
+		s := start(ctx, t, nil, subscriber.WithControllers(controllers...),
+			subscriber.WithDial(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+				if addr == far.Addr {
+					return alive.dial(ctx)
+				}
+				<-ctx.Done() // packets to a controller that is cut off vanish
+				return nil, ctx.Err()
+			}))
+		time.Sleep(14 * time.Second) // the time allowed for a change to be in force everywhere
+		synctest.Wait()
+		assertHeld(t, s, 6)
+	})
+}
+
 // TestFrozenController guards against claims that wait for the silence limit of a session.
 func TestFrozenController(t *testing.T) {
 	scenario(t, func(ctx context.Context, t *testing.T) {
