--- a/controller/serve.go
+++ b/controller/serve.go
@@ -152,13 +152,33 @@
 	c.administrator.Register(e)
 	e.GET("/v1/session", echo.WrapHandler(c.distributor))
 	e.GET("/v1/peer", echo.WrapHandler(c.messenger))
+	set := c.gauges()
 	e.GET("/metrics", func(ctx echo.Context) error {
+		set.WritePrometheus(ctx.Response())
 		metrics.WritePrometheus(ctx.Response(), true)
 		return nil
 	})
 	return e
 }
 
+// gauges shows the state of the node, so that a controller that is cut off does not go unnoticed.
+func (c *controller) gauges() *metrics.Set {
+	set := metrics.NewSet()
+	flag := func(on bool) float64 {
+		if on {
+			return 1
+		}
+		return 0
+	}
+	set.NewGauge("controller_fresh", func() float64 { return flag(c.fresh()) })
+	set.NewGauge("controller_leading", func() float64 { return flag(c.replicator.Status().Role == "leader") })
+	set.NewGauge("controller_voting", func() float64 { return flag(c.replicator.Status().Self.Voter) })
+	set.NewGauge("log_applied_index", func() float64 { return float64(c.replicator.Status().Applied) })
+	set.NewGauge("config_version", func() float64 { return float64(c.registrar.View().Version()) })
+	set.NewGauge("daemons_connected", func() float64 { return float64(len(c.distributor.Daemons())) })
+	return set
+}
+
 // propose runs a command through the log, and refuses it at once without contact to a majority.
 func (c *controller) propose(ctx context.Context, cmd wire.Command) (wire.Result, error) {
 	if !c.fresh() {
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -200,7 +200,9 @@
 	e := echo.New()
 	d.announcer.Register(e)
 	e.GET("/v1/status", d.getStatus)
+	set := d.gauges()
 	e.GET("/metrics", func(c echo.Context) error {
+		set.WritePrometheus(c.Response())
 		metrics.WritePrometheus(c.Response(), true)
 		return nil
 	})
