--- a/controller/registrar/grants.go
+++ b/controller/registrar/grants.go
@@ -1,10 +1,10 @@
 package registrar
 
 import (
+	"errors"
 	"time"
 
-	"github.com/google/uuid"
-
+	"bluebellhoist/core/keyer"
 	"bluebellhoist/core/wire"
 )
 
@@ -19,16 +19,6 @@
 	Invalid  = "invalid"  // the key is no UUIDv7 or lies in the future
 )
 
-const (
-	// KeyLife is the age up to which an idempotency key is accepted.
-	KeyLife = 6 * time.Hour
-	// GrantLife is how long a claim is kept. It must exceed KeyLife plus KeySkew:
-	// a key is then refused as expired before its record goes.
-	GrantLife = KeyLife + 2*KeySkew
-	// KeySkew is how far a key may lie in the future.
-	KeySkew = 5 * time.Minute
-)
-
 type grantKey struct {
 	service string
 	key     string
@@ -68,7 +58,7 @@
 }
 
 func (g *grants) prune(clock int64) {
-	for len(g.order) > 0 && g.byKey[g.order[0]].At+millis(GrantLife) < clock {
+	for len(g.order) > 0 && g.byKey[g.order[0]].At+millis(keyer.Retention) < clock {
 		delete(g.byKey, g.order[0])
 		g.order = g.order[1:]
 	}
@@ -126,17 +116,16 @@
 
 // checkKey returns the state that refuses the key, or the empty string.
 func checkKey(key string, clock int64) string {
-	id, err := uuid.Parse(key)
-	if err != nil || id.Version() != 7 {
+	id, err := keyer.Parse(key)
+	if err != nil {
 		return Invalid
 	}
-	sec, nsec := id.Time().UnixTime()
-	made := time.Unix(sec, nsec).UnixMilli()
-	if made > clock+millis(KeySkew) {
-		return Invalid
-	}
-	if made+millis(KeyLife) < clock {
+	err = keyer.CheckAge(id, time.UnixMilli(clock))
+	switch {
+	case errors.Is(err, keyer.ErrExpired):
 		return Expired
+	case err != nil:
+		return Invalid
 	}
 	return ""
 }
--- a/controller/registrar/registrar_test.go
+++ b/controller/registrar/registrar_test.go
@@ -13,6 +13,7 @@
 
 	"bluebellhoist/controller/registrar"
 	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/keyer"
 	"bluebellhoist/core/wire"
 )
 
@@ -199,10 +200,10 @@
 		{"finish", finish("2"), registrar.Done},
 		{"release after finish", release("2"), registrar.Done},
 		{"claim after finish", claim("3", 1), registrar.Done},
-		{"claim just before the key is too old", at(claim("3", 1), registrar.KeyLife), registrar.Done},
-		{"key too old", at(claim("3", 1), registrar.KeyLife+time.Second), registrar.Expired},
+		{"claim just before the key is too old", at(claim("3", 1), keyer.Life), registrar.Done},
+		{"key too old", at(claim("3", 1), keyer.Life+time.Second), registrar.Expired},
 		{"clock of a new leader is behind", claim("3", 1), registrar.Expired},
-		{"record gone", at(claim("3", 1), 2*registrar.GrantLife), registrar.Expired},
+		{"record gone", at(claim("3", 1), 2*keyer.Retention), registrar.Expired},
 	}
 	r := registrar.New()
 	for _, step := range steps {
--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -40,7 +40,7 @@
 daemon() {
   cat >"$out/d$1.json" <<JSON
 {
-  "name": "d$1", "domain": "${domains[$1 % 3]}", "batch": "counter",
+  "name": "d$1", "domain": "${domains[$1 % 3]}", "batch": "${batch:-counter}",
   "calls": "127.0.0.1:$((20000 + $1))", "peers": "127.0.0.1:$((21000 + $1))", "local": "127.0.0.1:$((22000 + $1))",
   "seeds": ["127.0.0.1:21001", "127.0.0.1:21002", "127.0.0.1:21003"],
   "controllers": [
