--- a/daemon/forwarder/bench_test.go
+++ b/daemon/forwarder/bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -22,11 +21,9 @@
 // BenchmarkAddedLatency compares calls through an egress and an ingress side with direct calls to the same upstream on
 // loopback. Both kinds alternate, so that noise of the machine meets both.
 func BenchmarkAddedLatency(b *testing.B) {
-	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	addr := serveLoopback(b, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(w, r.Body)
-	}))
-	defer upstream.Close()
-	addr := netip.MustParseAddrPort(upstream.Listener.Addr().String())
+	})})
 	ingress := forwarder.New(
 		forwarder.WithUpstream(func() (wire.Upstream, bool) {
 			return wire.Upstream{Address: addr, Service: "stock", Conns: 130}, true
@@ -68,14 +65,12 @@
 	}
 }
 
-func serveLoopback(b *testing.B, s *http.Server) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	go s.Serve(l)
-	b.Cleanup(func() { s.Close() })
-	return netip.MustParseAddrPort(l.Addr().String())
+func serveLoopback(b *testing.B, config *http.Server) netip.AddrPort {
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = config
+	s.Start()
+	b.Cleanup(s.Close)
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
 }
 
 // measure sends one call of 256 bytes and returns the time until its whole answer.
--- a/daemon/forwarder/egress_test.go
+++ b/daemon/forwarder/egress_test.go
@@ -37,46 +37,38 @@
 		{"bad deadline", "stock", []string{forwarder.HeaderDeadline, "soon"}, 400, "not-run"},
 		{"deadline passed", "stock", []string{forwarder.HeaderDeadline, "0"}, 504, "not-run"},
 		{"no key", "payout", nil, 400, "not-run"},
-		{"two keys", "payout", []string{key, newKey(0), key, newKey(0)}, 400, "not-run"},
+		{"two keys", "payout", []string{key, newKey(bubbleStart), key, newKey(bubbleStart)}, 400, "not-run"},
 		{"not version 7", "payout", []string{key, "6ba7b810-9dad-11d1-80b4-00c04fd430c8"}, 400, "not-run"},
-		{"other spelling", "payout", []string{key, "{" + newKey(0) + "}"}, 400, "not-run"},
-		{"old key", "payout", []string{key, "age 24h1m"}, 409, "unknown"},
-		{"key from the future", "payout", []string{key, "age -6m"}, 400, "not-run"},
+		{"other spelling", "payout", []string{key, "{" + newKey(bubbleStart) + "}"}, 400, "not-run"},
+		{"old key", "payout", []string{key, newKey(bubbleStart.Add(-24*time.Hour - time.Minute))}, 409, "unknown"},
+		{"key from the future", "payout", []string{key, newKey(bubbleStart.Add(6 * time.Minute))}, 400, "not-run"},
 		{"no member", "stock", nil, 503, "not-run"},
 		{"HTTP/1.0 shows no broken answer", "old", nil, 505, "not-run"},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(t, 0)
-				switch c.service {
-				case "lapsed":
-					m.snapshot = snapshot(t, time.Now())
-				case "none":
-					m.snapshot = nil
-				}
-				if len(c.header) == 2 && strings.HasPrefix(c.header[1], "age ") {
-					age, err := time.ParseDuration(strings.TrimPrefix(c.header[1], "age "))
-					m.is.NoErr(err)
-					c.header = []string{key, newKey(age)}
-				}
-				req := httptest.NewRequest("POST", "http://"+c.service, strings.NewReader("x"))
-				for i := 0; i < len(c.header); i += 2 {
-					req.Header.Add(c.header[i], c.header[i+1])
-				}
-				if c.service == "old" {
-					req.ProtoMinor = 0
-				}
-				w := httptest.NewRecorder()
-				m.egress.Egress().ServeHTTP(w, req)
-				m.expect(w.Result(), nil, c.status, c.outcome)
-				var report map[string]string
-				m.is.NoErr(json.Unmarshal(w.Body.Bytes(), &report))
-				m.is.Equal(report["outcome"], c.outcome)
-				m.is.True(report["error"] != "")                 // the body names the reason
-				m.is.True(m.picks == 0 || c.name == "no member") // nothing was sent
-				m.is.True(len(m.metrics.ListMetricNames()) > 0)  // the refusal is counted
-			})
+		run(t, c.name, 0, func(m *mesh) {
+			switch c.service {
+			case "lapsed":
+				m.snapshot = snapshot(m.t, time.Now())
+			case "none":
+				m.snapshot = nil
+			}
+			req := httptest.NewRequest("POST", "http://"+c.service, strings.NewReader("x"))
+			for i := 0; i < len(c.header); i += 2 {
+				req.Header.Add(c.header[i], c.header[i+1])
+			}
+			if c.service == "old" {
+				req.ProtoMinor = 0
+			}
+			w := httptest.NewRecorder()
+			m.egress.Egress().ServeHTTP(w, req)
+			m.expect(w.Result(), nil, c.status, c.outcome)
+			var report struct{ Error, Outcome string }
+			m.is.NoErr(json.Unmarshal(w.Body.Bytes(), &report))
+			m.is.Equal(report.Outcome, c.outcome)
+			m.is.True(report.Error != "")                    // the body names the reason
+			m.is.True(m.picks == 0 || c.name == "no member") // nothing was sent
+			m.is.True(len(m.metrics.ListMetricNames()) > 0)  // the refusal is counted
 		})
 	}
 }
@@ -90,8 +82,7 @@
 		{"archive", "urgent", "bulk", "99999", "9960", "15", "16"},
 	}
 	for _, c := range cases {
-		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 1)
+		run(t, c.service, 1, func(m *mesh) {
 			m.service = c.service
 			var got *http.Request
 			m.upstream(func(w http.ResponseWriter, r *http.Request) {
@@ -140,8 +131,7 @@
 
 // TestOwnAnswers guards against answers that reach another caller or are incomplete when calls cross and answer late.
 func TestOwnAnswers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 2)
+	run(t, "mesh", 2, func(m *mesh) {
 		m.conns = 100
 		m.upstream(func(w http.ResponseWriter, r *http.Request) {
 			size, _ := strconv.Atoi(r.Header.Get("Size"))
@@ -159,7 +149,7 @@
 				id := fmt.Sprintf("[%08d]", i)
 				resp, body, err := m.call("POST", "stock", id, "Size", strconv.Itoa(size))
 				if err != nil || resp.StatusCode != 200 || body != strings.Repeat(id, size) {
-					t.Errorf("call %d: error %v, %d bytes, want %d", i, err, len(body), size*len(id))
+					m.t.Errorf("call %d: error %v, %d bytes, want %d", i, err, len(body), size*len(id))
 				}
 			})
 		}
@@ -185,23 +175,20 @@
 		{"switched protocol", "POST", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", 502, 1},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(t, 4)
-				var runs atomic.Int32
-				m.rawUpstream(func(conn net.Conn) {
-					readRequest(conn)
-					runs.Add(1)
-					_, _ = io.WriteString(conn, c.answer)
-				})
-				resp, _, err := m.call(c.method, "stock", "")
-				m.is.Equal(int(runs.Load()), c.runs)
-				if c.status == 0 {
-					m.is.True(err != nil) // the caller sees that the answer broke off
-					return
-				}
-				m.expect(resp, err, c.status, "unknown")
+		run(t, c.name, 4, func(m *mesh) {
+			var runs atomic.Int32
+			m.rawUpstream(func(conn net.Conn) {
+				readRequest(conn)
+				runs.Add(1)
+				_, _ = io.WriteString(conn, c.answer)
 			})
+			resp, _, err := m.call(c.method, "stock", "")
+			m.is.Equal(int(runs.Load()), c.runs)
+			if c.status == 0 {
+				m.is.True(err != nil) // the caller sees that the answer broke off
+				return
+			}
+			m.expect(resp, err, c.status, "unknown")
 		})
 	}
 }
@@ -234,32 +221,28 @@
 		{"refused, then broken", "rrb", 1, 502, 2, "unknown"},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(t, 0)
-				for _, kind := range c.members {
-					m.addMember(handlers[kind])
-				}
-				m.addMember(m.newIngress().Ingress())
-				var runs atomic.Int32
-				m.upstream(func(_ http.ResponseWriter, r *http.Request) {
-					data, _ := io.ReadAll(r.Body)
-					m.is.Equal(len(data), c.body)
-					runs.Add(1)
-				})
-				resp, _, err := m.call("PUT", "stock", strings.Repeat("x", c.body))
-				m.expect(resp, err, c.status, c.outcome)
-				m.is.Equal(runs.Load() == 1, c.status == 200) // not run means no run
-				m.is.Equal(m.picks-1, c.retries)
+		run(t, c.name, 0, func(m *mesh) {
+			for _, kind := range c.members {
+				m.addMember(handlers[kind])
+			}
+			m.addMember(m.newIngress().Ingress())
+			var runs atomic.Int32
+			m.upstream(func(_ http.ResponseWriter, r *http.Request) {
+				data, _ := io.ReadAll(r.Body)
+				m.is.Equal(len(data), c.body)
+				runs.Add(1)
 			})
+			resp, _, err := m.call("PUT", "stock", strings.Repeat("x", c.body))
+			m.expect(resp, err, c.status, c.outcome)
+			m.is.Equal(runs.Load() == 1, c.status == 200) // not run means no run
+			m.is.Equal(m.picks-1, c.retries)
 		})
 	}
 }
 
 // TestRetryBudget guards against retries that multiply the load of a service whose members all refuse.
 func TestRetryBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 4)
+	run(t, "mesh", 4, func(m *mesh) {
 		m.slots = fmt.Errorf("queue full")
 		const calls = 200
 		for range calls {
@@ -275,9 +258,8 @@
 
 // TestLapse guards against new calls after the expiry, and against breaking calls that are in progress.
 func TestLapse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 1)
-		m.snapshot = snapshot(t, time.Now().Add(time.Second))
+	run(t, "mesh", 1, func(m *mesh) {
+		m.snapshot = snapshot(m.t, time.Now().Add(time.Second))
 		m.upstream(func(http.ResponseWriter, *http.Request) { time.Sleep(2 * time.Second) })
 		var wg sync.WaitGroup
 		wg.Go(func() {
@@ -295,8 +277,7 @@
 // connections work.
 func TestSilentConnection(t *testing.T) {
 	for method, status := range map[string]int{"GET": 200, "POST": 502} {
-		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 0)
+		run(t, method, 0, func(m *mesh) {
 			silence := make(chan struct{})
 			ingress := m.newIngress().Ingress()
 			m.addMember(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -323,8 +304,7 @@
 
 // TestDrain guards against a planned stop that interrupts calls in progress or takes new ones.
 func TestDrain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 0)
+	run(t, "mesh", 0, func(m *mesh) {
 		ingress := m.newIngress()
 		m.addMember(ingress.Ingress())
 		m.upstream(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
@@ -336,14 +316,14 @@
 		synctest.Wait()
 		started := time.Now()
 		wg.Go(func() {
-			m.is.NoErr(ingress.Drain(t.Context()))
+			m.is.NoErr(ingress.Drain(m.t.Context()))
 			m.is.Equal(time.Since(started), time.Second)
 		})
 		synctest.Wait()
 		resp, _, err := m.call("POST", "stock", "")
 		m.expect(resp, err, 503, "not-run")
 		wg.Wait()
-		m.is.NoErr(m.egress.Drain(t.Context()))
+		m.is.NoErr(m.egress.Drain(m.t.Context()))
 		resp, _, err = m.call("POST", "stock", "")
 		m.expect(resp, err, 503, "not-run")
 		m.is.True(resp.Close) // callers move to another daemon
--- a/daemon/forwarder/fixture_test.go
+++ b/daemon/forwarder/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -10,7 +11,9 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,14 +34,14 @@
 type network struct {
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*listener
-	silent    map[netip.AddrPort]chan struct{} // closed to silence the connections open now
-	open, top int                              // connections to the upstream, and the most at one time
+	open, top int // connections to the upstream, and the most at one time
 }
 
 type listener struct {
-	conns chan net.Conn
-	done  context.Context
-	stop  context.CancelFunc
+	conns  chan net.Conn
+	done   context.Context
+	stop   context.CancelFunc
+	silent *atomic.Bool // of the connections open now
 }
 
 func (l *listener) Close() error   { l.stop(); return nil }
@@ -55,62 +58,61 @@
 // pipe is one end of a connection. Once it is silent the other end gets nothing from it, not even its close.
 type pipe struct {
 	net.Conn
-	silent chan struct{}
+	silent *atomic.Bool
 	closed func()
 }
 
 func (p *pipe) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(192, 0, 2, 7), Port: 7} }
 
 func (p *pipe) Write(b []byte) (int, error) {
-	select {
-	case <-p.silent:
+	if p.silent.Load() {
 		return len(b), nil
-	default:
-		return p.Conn.Write(b)
 	}
+	return p.Conn.Write(b)
 }
 
 func (p *pipe) Close() error {
 	p.closed()
-	select {
-	case <-p.silent:
+	if p.silent.Load() {
 		return p.SetReadDeadline(time.Now())
-	default:
-		return p.Conn.Close()
 	}
+	return p.Conn.Close()
 }
 
 func (n *network) listen(addr netip.AddrPort) *listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := &listener{conns: make(chan net.Conn)}
+	l := &listener{conns: make(chan net.Conn), silent: &atomic.Bool{}}
 	l.done, l.stop = context.WithCancel(context.Background())
-	n.listeners[addr], n.silent[addr] = l, make(chan struct{})
+	n.listeners[addr] = l
 	return l
 }
 
 func (n *network) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	n.mu.Lock()
-	l, silent := n.listeners[addr], n.silent[addr]
+	l := n.listeners[addr]
 	n.mu.Unlock()
 	if l == nil {
 		return nil, errors.New("connection refused")
 	}
 	near, far := net.Pipe()
 	select {
-	case l.conns <- &pipe{far, silent, func() {}}:
+	case l.conns <- &pipe{far, l.silent, func() {}}:
 		n.count(addr, 1)
-		return &pipe{near, silent, sync.OnceFunc(func() { n.count(addr, -1) })}, nil
+		return &pipe{near, l.silent, sync.OnceFunc(func() { n.count(addr, -1) })}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
+// silence makes the connections to addr that are open now silent. New ones work.
 func (n *network) silence(addr netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	close(n.silent[addr])
-	n.silent[addr] = make(chan struct{})
+	n.listeners[addr].silent.Store(true)
+	l := *n.listeners[addr]
+	l.silent = &atomic.Bool{}
+	n.listeners[addr] = &l
 }
 
 func (n *network) count(addr netip.AddrPort, change int) {
@@ -144,10 +146,9 @@
 	freed    []forwarder.Outcome // at the limiter
 }
 
-// newMesh starts a mesh with as many members as given.
 func newMesh(t *testing.T, members int) *mesh {
 	m := &mesh{t: t, is: is.New(t), metrics: metrics.NewSet(), conns: 8, service: "stock"}
-	m.net.listeners, m.net.silent = map[netip.AddrPort]*listener{}, map[netip.AddrPort]chan struct{}{}
+	m.net.listeners = map[netip.AddrPort]*listener{}
 	m.claims.grants, m.claims.done = map[string]*wire.Claim{}, map[string]bool{}
 	m.snapshot = snapshot(t, time.Now().Add(time.Hour))
 	m.egress = forwarder.New(forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot }),
@@ -165,6 +166,13 @@
 	return m
 }
 
+// run runs f in a subtest and a synctest bubble on a mesh with as many members as given.
+func run(t *testing.T, name string, members int, f func(m *mesh)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { f(newMesh(t, members)) })
+	})
+}
+
 // addMember starts a member with the given ingress handler. Without one it refuses connections.
 func (m *mesh) addMember(h http.Handler) {
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(len(m.members))}), 80)
@@ -270,15 +278,13 @@
 	return s
 }
 
-// newKey returns a UUIDv7 of the given age. It is not made by uuid.NewV7, whose times never go back, because each
-// synctest bubble starts at the same time.
-func newKey(age time.Duration) string {
+// bubbleStart is the time at which each synctest bubble starts.
+var bubbleStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newKey returns a UUIDv7 of the given time. It is not made by uuid.NewV7, whose times never go back.
+func newKey(at time.Time) string {
 	id := uuid.New()
-	ms := time.Now().Add(-age).UnixMilli()
-	for i := range 6 {
-		id[i] = byte(ms >> (40 - 8*i))
-	}
-	id[6] = id[6]&0x0f | 0x70
+	binary.BigEndian.PutUint64(id[:], uint64(at.UnixMilli())<<16|7<<12)
 	return id.String()
 }
 
--- a/daemon/forwarder/ingress_test.go
+++ b/daemon/forwarder/ingress_test.go
@@ -53,46 +53,42 @@
 		{"shed", -1, strings.Replace(ok, "200 OK", "503 Busy", 1), 0, 503, 503, "", 1},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(t, 4)
-				m.service = "payout"
-				m.claims.lose = c.lose
-				var runs, conns atomic.Int32
-				m.rawUpstream(func(conn net.Conn) {
-					conns.Add(1)
-					if c.reads >= 0 {
-						_, _ = io.ReadFull(conn, make([]byte, c.reads))
-						return
-					}
-					if readRequest(conn) {
-						runs.Add(1)
-						_, _ = io.WriteString(conn, c.answer)
-					}
-				})
-				key := newKey(time.Hour)
-				resp, _, err := m.call("POST", "payout", "10 won", forwarder.HeaderKey, key)
-				m.expect(resp, err, c.status, c.outcome)
-				resp, body, err := m.call("POST", "payout", "10 won", forwarder.HeaderKey, strings.ToUpper(key))
-				m.is.NoErr(err)
-				m.is.Equal(resp.StatusCode, c.again)
-				m.is.Equal(resp.Header.Get(forwarder.HeaderReplayed) != "", c.again != 409 && c.lose < 3)
-				m.is.True(c.again == 409 || body == "paid")
-				m.is.Equal(int(runs.Load()), c.runs)
-				m.is.Equal(int(conns.Load()), 1) // written at most once
-				resp, _, err = m.call("POST", "payout", "99 won", forwarder.HeaderKey, key)
-				m.expect(resp, err, 422, "not-run")
+		run(t, c.name, 4, func(m *mesh) {
+			m.service = "payout"
+			m.claims.lose = c.lose
+			var runs, conns atomic.Int32
+			m.rawUpstream(func(conn net.Conn) {
+				conns.Add(1)
+				if c.reads >= 0 {
+					_, _ = io.ReadFull(conn, make([]byte, c.reads))
+					return
+				}
+				if readRequest(conn) {
+					runs.Add(1)
+					_, _ = io.WriteString(conn, c.answer)
+				}
 			})
+			key := newKey(bubbleStart)
+			resp, _, err := m.call("POST", "payout", "10 won", forwarder.HeaderKey, key)
+			m.expect(resp, err, c.status, c.outcome)
+			resp, body, err := m.call("POST", "payout", "10 won", forwarder.HeaderKey, strings.ToUpper(key))
+			m.is.NoErr(err)
+			m.is.Equal(resp.StatusCode, c.again)
+			m.is.Equal(resp.Header.Get(forwarder.HeaderReplayed) != "", c.again != 409 && c.lose < 3)
+			m.is.True(c.again == 409 || body == "paid")
+			m.is.Equal(int(runs.Load()), c.runs)
+			m.is.Equal(int(conns.Load()), 1) // written at most once
+			resp, _, err = m.call("POST", "payout", "99 won", forwarder.HeaderKey, key)
+			m.expect(resp, err, 422, "not-run")
 		})
 	}
 }
 
 // TestUnreachableUpstream guards against keeping the claim of a call that was never sent.
 func TestUnreachableUpstream(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 1)
+	run(t, "mesh", 1, func(m *mesh) {
 		m.service = "payout"
-		key := newKey(0)
+		key := newKey(bubbleStart)
 		resp, _, err := m.call("POST", "payout", "x", forwarder.HeaderKey, key)
 		m.expect(resp, err, 503, "not-run")
 		m.is.Equal(len(m.claims.grants), 0)
@@ -119,28 +115,25 @@
 		{"not by a daemon", "", false, [2]string{key, key}, [2]string{"400", "400"}, 0},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(t, 0)
-				m.service = "payout"
-				var runs atomic.Int32
-				m.upstream(func(http.ResponseWriter, *http.Request) { runs.Add(1); panic(http.ErrAbortHandler) })
-				f := m.newIngress()
-				if c.held {
-					forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot })(f)
-				}
-				for i, key := range c.keys {
-					req := httptest.NewRequest("POST", "http://payout", strings.NewReader("x"))
-					for name, value := range map[string]string{forwarder.HeaderClass: "urgent", forwarder.HeaderAttempt: "same",
-						forwarder.HeaderOnce: c.once, forwarder.HeaderKey: key} {
-						req.Header.Set(name, value)
-					}
-					w := httptest.NewRecorder()
-					f.Ingress().ServeHTTP(w, req)
-					m.is.Equal(strconv.Itoa(w.Code), c.want[i])
+		run(t, c.name, 0, func(m *mesh) {
+			m.service = "payout"
+			var runs atomic.Int32
+			m.upstream(func(http.ResponseWriter, *http.Request) { runs.Add(1); panic(http.ErrAbortHandler) })
+			f := m.newIngress()
+			if c.held {
+				forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot })(f)
+			}
+			for i, key := range c.keys {
+				req := httptest.NewRequest("POST", "http://payout", strings.NewReader("x"))
+				for name, value := range map[string]string{forwarder.HeaderClass: "urgent", forwarder.HeaderAttempt: "same",
+					forwarder.HeaderOnce: c.once, forwarder.HeaderKey: key} {
+					req.Header.Set(name, value)
 				}
-				m.is.Equal(int(runs.Load()), c.runs)
-			})
+				w := httptest.NewRecorder()
+				f.Ingress().ServeHTTP(w, req)
+				m.is.Equal(strconv.Itoa(w.Code), c.want[i])
+			}
+			m.is.Equal(int(runs.Load()), c.runs)
 		})
 	}
 }
@@ -158,8 +151,7 @@
 		{"payout", forwarder.HeaderKey, 409}, // the egress side sends it again and the claim is refused
 	}
 	for _, c := range cases {
-		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 3)
+		run(t, c.service+" "+c.header, 3, func(m *mesh) {
 			m.service = c.service
 			var runs atomic.Int32
 			m.rawUpstream(func(conn net.Conn) {
@@ -167,9 +159,9 @@
 					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 				}
 			})
-			resp, _, err := m.call("GET", c.service, "", c.header, newKey(0))
+			resp, _, err := m.call("GET", c.service, "", c.header, newKey(bubbleStart))
 			m.expect(resp, err, 200, "")
-			resp, _, err = m.call("POST", c.service, "", c.header, newKey(0))
+			resp, _, err = m.call("POST", c.service, "", c.header, newKey(bubbleStart))
 			m.expect(resp, err, c.status, "unknown")
 			m.is.Equal(int(runs.Load()), 2)
 		})
@@ -191,53 +183,49 @@
 		{"once caller leaves", "payout", time.Second, 4 * time.Second, forwarder.Success, 200},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(t, 1)
-				m.service = c.service
-				started := time.Now()
-				var ended time.Duration
-				m.upstream(func(_ http.ResponseWriter, r *http.Request) {
-					select {
-					case <-r.Context().Done():
-					case <-time.After(4 * time.Second):
-						if c.service == "stock" {
-							<-r.Context().Done()
-						}
+		run(t, c.name, 1, func(m *mesh) {
+			m.service = c.service
+			started := time.Now()
+			var ended time.Duration
+			m.upstream(func(_ http.ResponseWriter, r *http.Request) {
+				select {
+				case <-r.Context().Done():
+				case <-time.After(4 * time.Second):
+					if c.service == "stock" {
+						<-r.Context().Done()
 					}
-					ended = time.Since(started)
-				})
-				key := newKey(0)
-				ctx, cancel := context.WithTimeout(t.Context(), c.leave)
-				defer cancel()
-				req, err := http.NewRequestWithContext(ctx, "GET", "http://"+c.service+"/run?x=1", nil)
-				m.is.NoErr(err)
-				req.Header.Set(forwarder.HeaderKey, key)
-				resp, err := m.client.Do(req)
-				if c.leave == time.Hour {
-					m.expect(resp, err, 504, "unknown")
-					resp.Body.Close()
-				} else {
-					m.is.True(err != nil)
-				}
-				time.Sleep(5 * time.Second)
-				synctest.Wait()
-				m.is.Equal(ended, c.ends)
-				m.is.Equal(m.freed[0].Result, c.result) // the limiter hears how the upstream fared
-				if c.again != 0 {
-					resp, _, err := m.call("GET", c.service, "", forwarder.HeaderKey, key)
-					m.expect(resp, err, c.again, "")
-					m.is.Equal(resp.Header.Get(forwarder.HeaderReplayed), "true")
 				}
+				ended = time.Since(started)
 			})
+			key := newKey(bubbleStart)
+			ctx, cancel := context.WithTimeout(m.t.Context(), c.leave)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, "GET", "http://"+c.service+"/run?x=1", nil)
+			m.is.NoErr(err)
+			req.Header.Set(forwarder.HeaderKey, key)
+			resp, err := m.client.Do(req)
+			if c.leave == time.Hour {
+				m.expect(resp, err, 504, "unknown")
+				resp.Body.Close()
+			} else {
+				m.is.True(err != nil)
+			}
+			time.Sleep(5 * time.Second)
+			synctest.Wait()
+			m.is.Equal(ended, c.ends)
+			m.is.Equal(m.freed[0].Result, c.result) // the limiter hears how the upstream fared
+			if c.again != 0 {
+				resp, _, err := m.call("GET", c.service, "", forwarder.HeaderKey, key)
+				m.expect(resp, err, c.again, "")
+				m.is.Equal(resp.Header.Get(forwarder.HeaderReplayed), "true")
+			}
 		})
 	}
 }
 
 // TestConns guards against more connections than the upstream takes when kept and fresh connections mix.
 func TestConns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 1)
+	run(t, "mesh", 1, func(m *mesh) {
 		m.conns = 4
 		m.upstream(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) })
 		var wg sync.WaitGroup
