Allocate no queue place for calls that find a free slot

A drain waited for the calls of the next upstream if that was announced before the drain had ended. Change: the place is made only for queued calls; a cold start ends the drain with an error.

--- a/daemon/limiter/acquire.go
+++ b/daemon/limiter/acquire.go
@@ -38,21 +38,14 @@
 	if ctx.Err() != nil {
 		return nil, gone(ctx)
 	}
-	w := &waiter{rank: rank(class)}
-	w.deadline, _ = ctx.Deadline()
-
+	deadline, _ := ctx.Deadline()
 	l.mu.Lock()
-	if err := l.admit(w, now); err != nil {
-		l.mu.Unlock()
+	seq, w, err := l.admit(rank(class), deadline, now)
+	l.mu.Unlock()
+	if err != nil {
 		return nil, err
 	}
-	seq := w.seq
-	if w.queued {
-		w.ready = make(chan struct{})
-	}
-	l.mu.Unlock()
-
-	if w.ready == nil {
+	if w == nil {
 		return &call{limiter: l, class: class, seq: seq, start: now}, nil
 	}
 	if err := l.wait(ctx, w); err != nil {
@@ -61,27 +54,28 @@
 	return &call{limiter: l, class: class, seq: w.seq, start: l.now()}, nil
 }
 
-// admit grants a slot to w, queues it or refuses it. The lock must be held.
-func (l *Limiter) admit(w *waiter, now time.Time) error {
+// admit grants a slot and returns the number of the call, or queues the call and returns its place, or refuses it. The
+// lock must be held.
+func (l *Limiter) admit(rank int, deadline, now time.Time) (uint64, *waiter, error) {
 	switch {
 	case l.draining:
-		return ErrDraining
+		return 0, nil, ErrDraining
 	case l.capacity.slots == 0:
-		return ErrNoUpstream
+		return 0, nil, ErrNoUpstream
 	case l.schedule.length == 0 && l.progress < l.capacity.current():
-		l.grant(w, now)
 		l.load.Add(1)
-		return nil
-	case l.schedule.queues[w.rank].length >= l.queue:
-		return fmt.Errorf("%w: %d calls of class %s", ErrFull, l.queue, classes[w.rank].name)
+		return l.grant(now), nil, nil
+	case l.schedule.queues[rank].length >= l.queue:
+		return 0, nil, fmt.Errorf("%w: %d calls of class %s", ErrFull, l.queue, classes[rank].name)
 	}
-	l.schedule.arrive(w.rank)
-	if wait := l.estimate(w.rank, now); !w.deadline.IsZero() && !now.Add(wait).Before(w.deadline) {
-		return fmt.Errorf("%w: estimated wait %v, time left %v", ErrDeadline, wait, w.deadline.Sub(now))
+	l.schedule.arrive(rank)
+	if wait := l.estimate(rank, now); !deadline.IsZero() && !now.Add(wait).Before(deadline) {
+		return 0, nil, fmt.Errorf("%w: estimated wait %v, time left %v", ErrDeadline, wait, deadline.Sub(now))
 	}
+	w := &waiter{rank: rank, deadline: deadline, ready: make(chan struct{})}
 	l.schedule.push(w)
 	l.load.Add(1)
-	return nil
+	return 0, w, nil
 }
 
 // estimate returns how long a new call of the given class would wait. The lock must be held.
@@ -111,14 +105,11 @@
 	return gone(ctx)
 }
 
-// grant gives a slot to w. The lock must be held.
-func (l *Limiter) grant(w *waiter, now time.Time) {
+// grant takes a slot and returns the number of the call. The lock must be held.
+func (l *Limiter) grant(now time.Time) uint64 {
 	l.progress++
-	w.seq = l.capacity.grant(l.progress)
 	l.changed = now
-	if w.ready != nil {
-		close(w.ready)
-	}
+	return l.capacity.grant(l.progress)
 }
 
 // dispatch grants free slots to queued calls and refuses those whose deadline has passed. The lock must be held.
@@ -130,7 +121,8 @@
 			continue
 		}
 		l.schedule.serve(w)
-		l.grant(w, now)
+		w.seq = l.grant(now)
+		close(w.ready)
 	}
 }
 
@@ -159,9 +151,8 @@
 
 // leave counts a call out and wakes Drain after the last one. The lock must be held.
 func (l *Limiter) leave() {
-	if l.load.Add(-1) == 0 && l.idle != nil {
-		close(l.idle)
-		l.idle = nil
+	if l.load.Add(-1) == 0 {
+		l.wake()
 	}
 }
 
--- a/daemon/limiter/drain.go
+++ b/daemon/limiter/drain.go
@@ -7,7 +7,8 @@
 )
 
 // Drain refuses new calls and returns when none is in progress. Queued calls still start during the grace period and
-// are refused after it. Drain returns an error if ctx ends first; the limiter then goes on refusing new calls.
+// are refused after it. Drain returns an error if ctx ends or Resize begins a cold start before that. The limiter goes
+// on refusing new calls until such a start.
 func (l *Limiter) Drain(ctx context.Context) error {
 	idle := l.drain()
 	grace := time.NewTimer(l.grace)
@@ -15,6 +16,11 @@
 	for {
 		select {
 		case <-idle:
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if !l.draining {
+				return fmt.Errorf("%w: a new upstream was announced", ErrDraining)
+			}
 			return nil
 		case <-grace.C:
 			l.mu.Lock()
@@ -33,13 +39,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.draining = true
-	if l.load.Load() == 0 {
-		idle := make(chan struct{})
-		close(idle)
-		return idle
-	}
 	if l.idle == nil {
 		l.idle = make(chan struct{})
 	}
-	return l.idle
+	idle := l.idle
+	if l.load.Load() == 0 {
+		l.wake()
+	}
+	return idle
+}
+
+// wake ends the wait of Drain. The lock must be held.
+func (l *Limiter) wake() {
+	if l.idle != nil {
+		close(l.idle)
+		l.idle = nil
+	}
 }
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -55,7 +55,7 @@
 	progress int
 	changed  time.Time // last grant or end of a call
 	draining bool
-	idle     chan struct{} // closed when a draining limiter has no calls; nil if nobody waits
+	idle     chan struct{} // closed when a draining limiter has no calls or starts anew; nil if nobody waits
 }
 
 // Option configures a Limiter.
@@ -122,6 +122,7 @@
 	case cold:
 		l.capacity.start(slots)
 		l.draining = false
+		l.wake()
 		l.changed = l.now()
 	default:
 		l.capacity.resize(slots)
--- a/daemon/limiter/limiter_test.go
+++ b/daemon/limiter/limiter_test.go
@@ -308,6 +308,12 @@
 		f.refused(forever, "urgent", limiter.ErrDraining)
 		f.Resize(0)
 		f.Resize(1) // a new upstream does
-		f.NoErr(f.call(forever, "urgent", 0))
+		done := f.hold()
+		go func() { drained <- f.Drain(forever) }()
+		synctest.Wait()
+		f.Resize(0)
+		f.Resize(1)
+		f.True(errors.Is(<-drained, limiter.ErrDraining)) // the drain does not wait for calls of the next upstream
+		done(limiter.OK)
 	})
 }
