Make the fresh time a lower bound and test clocks of different speed

Cause: a packet that was delayed for long, or that waited in a frozen process, made a cut-off node count as fresh. Change: followers send their clock with each answer and the leader repeats it, so that fresh is at or before the time the leader sent the packet. The clock starts at random, so that one from before a restart is not taken for this one. Joins without name or address are ignored. The simulation gets nodes with clocks of different speed and a check of fresh. Ruled out: a time stamp of the leader, which needs equal clocks.

--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -74,6 +74,7 @@
 	seeds   []netip.AddrPort
 	rand    *rand.Rand
 	log     *raftLog
+	booted  uint64 // tick at start; random, so that clocks of an earlier run are not taken for this one's
 	tick    uint64
 	now     int64
 	fault   error // broken invariant; the node must stop
@@ -92,7 +93,7 @@
 	peers     map[string]*peer // leader only
 	seq       uint64
 	rounds    []round
-	fresh     uint64 // tick at which a leader last had a majority
+	fresh     uint64 // tick up to which a leader is known to have had a majority
 	everFresh bool
 	nextBeat  uint64
 	stamp     int64
@@ -114,6 +115,8 @@
 		role: follower, term: st.Term, vote: st.Vote,
 		waiting: map[uint64]*forward{}, reads: map[uint64]*read{}, origins: map[uint64]origin{},
 	}
+	c.booted = source.Uint64() >> 1
+	c.tick, c.fresh = c.booted, c.booted
 	c.resetElection()
 	return c
 }
--- a/controller/replicator/election.go
+++ b/controller/replicator/election.go
@@ -32,9 +32,11 @@
 	}
 	c.lead, c.heard = p.From, c.tick
 	c.resetElection()
-	age := uint64((p.Age + Tick - 1) / Tick)
-	if age <= c.tick && (!c.everFresh || c.tick-age > c.fresh) {
-		c.fresh, c.everFresh = c.tick-age, true
+	// The packet may have been delayed for long. It was sent after the leader got the clock that it repeats.
+	// One tick more covers the part of a tick that the leader's clock does not show.
+	age := uint64(p.Age/Tick) + 1
+	if p.Clock <= c.tick && p.Clock >= c.booted+age && p.Clock-age >= c.fresh {
+		c.fresh, c.everFresh = p.Clock-age, true
 	}
 }
 
--- a/controller/replicator/follower.go
+++ b/controller/replicator/follower.go
@@ -42,11 +42,18 @@
 }
 
 func (c *core) replyAppend(p wire.Packet, matched uint64) {
-	reply := c.packet(kindAppendReply, p.From.ID)
-	reply.Seq, reply.Index = p.Seq, matched
+	reply := c.answer(kindAppendReply, p)
+	reply.Index = matched
 	c.sendLate(p.From.Addr, reply)
 }
 
+// answer returns an answer to a packet of the leader.
+func (c *core) answer(kind string, p wire.Packet) wire.Packet {
+	reply := c.packet(kind, p.From.ID)
+	reply.Seq, reply.Clock = p.Seq, c.tick
+	return reply
+}
+
 // rejectAppend tells the leader the last index that may match: the one before all entries of the conflicting term.
 func (c *core) rejectAppend(p wire.Packet) {
 	hint := min(p.Index, c.log.last())
@@ -58,7 +65,7 @@
 			hint--
 		}
 	}
-	reply := c.packet(kindAppendReply, p.From.ID)
-	reply.Seq, reply.Index, reply.Reject, reply.Hint = p.Seq, p.Index, true, hint
+	reply := c.answer(kindAppendReply, p)
+	reply.Index, reply.Reject, reply.Hint = p.Index, true, hint
 	c.sendLate(p.From.Addr, reply)
 }
--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -18,6 +18,7 @@
 	commit  uint64    // commit index last sent
 	active  uint64    // tick of the last answer
 	seq     uint64    // last round answered
+	clock   uint64    // clock in the last answer
 	part    *wire.Checkpoint
 	offset  int    // bytes of part received there
 	retry   uint64 // tick at which a part is sent again to a silent peer
@@ -188,7 +189,7 @@
 
 func (c *core) leaderPacket(kind string, p *peer) wire.Packet {
 	m := c.packet(kind, p.node.ID)
-	m.Seq, m.Age = c.seq, time.Duration(c.tick-c.fresh)*Tick
+	m.Seq, m.Clock, m.Age = c.seq, p.clock, time.Duration(c.tick-c.fresh)*Tick
 	return m
 }
 
@@ -201,7 +202,7 @@
 	if p == nil || m.Seq > c.seq {
 		return nil
 	}
-	p.active, p.wish, p.seq = c.tick, m.From.Voter, max(p.seq, m.Seq)
+	p.active, p.wish, p.clock, p.seq = c.tick, m.From.Voter, m.Clock, max(p.seq, m.Seq)
 	c.confirm()
 	return p
 }
--- a/controller/replicator/members.go
+++ b/controller/replicator/members.go
@@ -79,7 +79,10 @@
 
 // onJoin admits a node as learner, or passes its request to the leader once.
 func (c *core) onJoin(p wire.Packet) {
-	if c.cluster == "" || p.Cluster != "" && p.Cluster != c.cluster || p.From.ID == "" || p.From.ID == c.self.ID {
+	if p.From.ID == "" || p.From.Name == "" || !p.From.Addr.IsValid() {
+		return
+	}
+	if c.cluster == "" || p.Cluster != "" && p.Cluster != c.cluster || p.From.ID == c.self.ID {
 		return
 	}
 	if c.role == leader {
--- a/controller/replicator/part.go
+++ b/controller/replicator/part.go
@@ -54,8 +54,8 @@
 			return
 		}
 	}
-	reply := c.packet(kindPartReply, p.From.ID)
-	reply.Seq, reply.Index, reply.Hint = p.Seq, p.Index, uint64(len(b.data))
+	reply := c.answer(kindPartReply, p)
+	reply.Index, reply.Hint = p.Index, uint64(len(b.data))
 	c.sendLate(p.From.Addr, reply)
 }
 
--- a/controller/replicator/replicator_test.go
+++ b/controller/replicator/replicator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -21,11 +22,13 @@
 
 // group is several nodes in one process with real data folders.
 type group struct {
-	mu    sync.Mutex
-	nodes map[netip.AddrPort]*replicator.Replicator
-	cut   map[netip.AddrPort]bool
-	stops []func()
-	last  []uint64 // index last applied, by node
+	folder string
+	mu     sync.Mutex
+	nodes  map[netip.AddrPort]*replicator.Replicator
+	cut    map[netip.AddrPort]bool
+	stops  []func()
+	last   []uint64 // index last applied, by node
+	from   []uint64 // index of the state snapshot restored, by node
 }
 
 func (g *group) send(from, to netip.AddrPort, p wire.Packet) {
@@ -45,48 +48,61 @@
 }
 
 func start(tb testing.TB, count int) *group {
-	is := is.New(tb)
-	g := &group{nodes: map[netip.AddrPort]*replicator.Replicator{}, cut: map[netip.AddrPort]bool{}, last: make([]uint64, count)}
-	folder := tb.TempDir()
+	g := &group{
+		folder: tb.TempDir(), nodes: map[netip.AddrPort]*replicator.Replicator{}, cut: map[netip.AddrPort]bool{},
+		last: make([]uint64, count), from: make([]uint64, count),
+	}
+	_, err := storer.Init(g.path(0), wire.Node{Name: "node-0", Addr: addr(0)})
+	is.New(tb).NoErr(err)
 	for i := range count {
-		node := wire.Node{Name: fmt.Sprintf("node-%d", i), Addr: addr(i), Voter: true}
-		path := filepath.Join(folder, node.Name)
-		if i == 0 {
-			_, err := storer.Init(path, node)
-			is.NoErr(err)
-		}
-		store, err := storer.Open(path, node.Name)
-		is.NoErr(err)
-		r := replicator.New(
-			replicator.WithStore(store), replicator.WithNode(node), replicator.WithSeeds([]netip.AddrPort{addr(0)}),
-			replicator.WithSend(func(to netip.AddrPort, p wire.Packet) { g.send(addr(i), to, p) }),
-			replicator.WithApply(func(index uint64, _ wire.Command) wire.Result {
-				g.last[i] = index
-				return wire.Result{Version: index}
-			}),
-			replicator.WithSave(func() ([]byte, error) { return []byte{1}, nil }),
-			replicator.WithRestore(func([]byte) error { return nil }),
-			replicator.WithRandom(rand.New(rand.NewPCG(uint64(i), 1))),
-		)
-		g.mu.Lock()
-		g.nodes[addr(i)] = r
-		g.mu.Unlock()
-		ctx, cancel := context.WithCancel(tb.Context())
-		done := make(chan error, 1)
-		go func() { done <- r.Run(ctx) }()
-		g.stops = append(g.stops, func() {
-			cancel()
-			is.NoErr(<-done)
-			is.NoErr(store.Close())
-		})
+		g.run(tb, i)
 	}
 	return g
 }
 
+func (g *group) path(i int) string {
+	return filepath.Join(g.folder, fmt.Sprintf("node-%d", i))
+}
+
+// run starts one node from its folder.
+func (g *group) run(tb testing.TB, i int) {
+	is := is.New(tb)
+	node := wire.Node{Name: fmt.Sprintf("node-%d", i), Addr: addr(i), Voter: true}
+	store, err := storer.Open(g.path(i), node.Name)
+	is.NoErr(err)
+	r := replicator.New(
+		replicator.WithStore(store), replicator.WithNode(node), replicator.WithSeeds([]netip.AddrPort{addr(0)}),
+		replicator.WithSend(func(to netip.AddrPort, p wire.Packet) { g.send(addr(i), to, p) }),
+		replicator.WithApply(func(index uint64, _ wire.Command) wire.Result {
+			g.last[i] = index
+			return wire.Result{Version: index}
+		}),
+		replicator.WithSave(func() ([]byte, error) { return binary.LittleEndian.AppendUint64(nil, g.last[i]), nil }),
+		replicator.WithRestore(func(state []byte) error {
+			g.last[i] = binary.LittleEndian.Uint64(state)
+			g.from[i] = g.last[i]
+			return nil
+		}),
+		replicator.WithRandom(rand.New(rand.NewPCG(uint64(i), 1))),
+	)
+	g.mu.Lock()
+	g.nodes[addr(i)] = r
+	g.mu.Unlock()
+	ctx, cancel := context.WithCancel(tb.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	g.stops = append(g.stops, func() {
+		cancel()
+		is.NoErr(<-done)
+		is.NoErr(store.Close())
+	})
+}
+
 func (g *group) stop() {
 	for _, stop := range g.stops {
 		stop()
 	}
+	g.stops = nil
 }
 
 // waitVoters waits until node 0 leads with so many voters.
@@ -134,6 +150,34 @@
 	})
 }
 
+// TestRestart guards against commands that are lost or applied again when a node starts from its state snapshot.
+func TestRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := start(t, 1)
+		defer func() { g.stop() }()
+		var callers sync.WaitGroup
+		for range 100 {
+			callers.Go(func() {
+				for range 90 {
+					if _, err := g.nodes[addr(0)].Propose(t.Context(), wire.Command{Expire: true}); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		callers.Wait()
+		g.stop()
+		last := g.last[0]
+		is.True(last > 9000)
+		g.last[0] = 0
+		g.run(t, 0)
+		is.NoErr(g.nodes[addr(0)].Barrier(t.Context()))
+		is.True(g.from[0] >= 8192) // started from the state snapshot
+		is.Equal(g.last[0], last)  // and applied the rest of the log
+	})
+}
+
 // BenchmarkPropose measures proposals per second with real syncs.
 func BenchmarkPropose(b *testing.B) {
 	for _, count := range []int{1, 3} {
--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -25,7 +25,9 @@
 	disk    storer.State
 	digest  uint64 // of all commands applied, in order
 	reads   map[uint64]uint64
-	phase   int
+	period  int // steps per tick; differs between nodes if their clocks do
+	booted  int // step of the last start
+	led     bool
 }
 
 type flight struct {
@@ -43,18 +45,20 @@
 	side  []int // partition that each node is in
 	next  uint64
 
-	loss, crash, partition, lostDisk int // chances per 100,000 steps, loss per 100 packets
+	loss, crash, partition, lostDisk int  // chances per 100,000 steps, loss per 100 packets
+	skew                             bool // clocks of different speed
 	quiet                            bool
 
-	leaders  map[uint64]string    // by term
-	votes    map[string]string    // candidate by voter and term
-	voters   map[string]bool      // identities that ever were voters in a log
-	history  map[uint64][2]uint64 // digest before and after, by index
-	acked    uint64               // highest index acknowledged to a caller
-	answered int
-	barriers int
-	replaced int
-	installs int
+	confirmed int                  // last step at which a leader knew of a majority
+	leaders   map[uint64]string    // by term
+	votes     map[string]string    // candidate by voter and term
+	voters    map[string]bool      // identities that ever were voters in a log
+	history   map[uint64][2]uint64 // digest before and after, by index
+	acked     uint64               // highest index acknowledged to a caller
+	answered  int
+	barriers  int
+	replaced  int
+	installs  int
 }
 
 func simAddr(i int) netip.AddrPort {
@@ -67,7 +71,7 @@
 		votes: map[string]string{}, voters: map[string]bool{}, history: map[uint64][2]uint64{},
 	}
 	for i := range count {
-		n := &simNode{phase: i % stepsPerTick}
+		n := &simNode{}
 		s.nodes = append(s.nodes, n)
 		s.freshDisk(i)
 	}
@@ -95,7 +99,10 @@
 	st := n.disk
 	st.Entries = slices.Clone(st.Entries)
 	n.core = newCore(n.self, n.cluster, st, []netip.AddrPort{simAddr(0), simAddr(1)}, rand.New(rand.NewPCG(s.rand.Uint64(), 1)))
-	n.reads, n.digest = map[uint64]uint64{}, 0
+	n.reads, n.digest, n.booted, n.period = map[uint64]uint64{}, 0, s.now, stepsPerTick
+	if s.skew {
+		n.period = 2 + s.rand.IntN(10)
+	}
 	if st.Checkpoint.Index > 0 {
 		s.restore(n, st.Checkpoint)
 	}
@@ -168,7 +175,7 @@
 func (s *sim) stepNode(i int) {
 	n := s.nodes[i]
 	in := input{now: int64(s.now) * 10}
-	if s.now%stepsPerTick == n.phase {
+	if s.now > n.booted && (s.now-n.booted)%n.period == 0 {
 		in.ticks = 1
 	}
 	s.net = slices.DeleteFunc(s.net, func(f flight) bool {
@@ -206,6 +213,7 @@
 // handle follows the order of Replicator.handle and crashes between its parts.
 func (s *sim) handle(i int, out output) bool {
 	n := s.nodes[i]
+	s.checkFresh(n)
 	s.sendAll(i, out.early)
 	if s.crashes(n) {
 		return false
@@ -336,6 +344,20 @@
 	s.votes[key] = p.To
 }
 
+// checkFresh guards against a cut-off node that counts as fresh because of a packet that was delayed.
+func (s *sim) checkFresh(n *simNode) {
+	c, led := n.core, n.led
+	n.led = c.role == leader
+	fresh := n.booted + int(c.fresh-c.booted)*stepsPerTick
+	switch {
+	case s.skew || !c.everFresh:
+	case led || n.led:
+		s.confirmed = max(s.confirmed, fresh)
+	case fresh > s.confirmed+stepsPerTick:
+		s.t.Fatalf("step %d: %s is fresh at %d, no leader had a majority after %d", s.now, n.self.ID, fresh, s.confirmed)
+	}
+}
+
 func (s *sim) check(n *simNode) {
 	c := n.core
 	if c.fault != nil {
@@ -375,9 +397,11 @@
 		name                             string
 		nodes                            int
 		loss, crash, partition, lostDisk int
+		skew                             bool
 	}{
 		{name: "loss and reordering", nodes: 3, loss: 10},
 		{name: "partitions", nodes: 5, loss: 2, partition: 500},
+		{name: "partitions and clocks of different speed", nodes: 5, loss: 2, crash: 5, partition: 500, skew: true},
 		{name: "crashes", nodes: 3, loss: 2, crash: 300},
 		{name: "lost disks, one right after the other's repair", nodes: 3, lostDisk: 100_000},
 		{name: "everything", nodes: 5, loss: 5, crash: 20, partition: 40, lostDisk: 100_000},
@@ -389,7 +413,7 @@
 					is := is.New(t)
 					s := newSim(t, c.nodes, seed)
 					is.True(s.heal()) // the group forms
-					s.quiet, s.loss, s.crash, s.partition, s.lostDisk = false, c.loss, c.crash, c.partition, c.lostDisk
+					s.quiet, s.skew, s.loss, s.crash, s.partition, s.lostDisk = false, c.skew, c.loss, c.crash, c.partition, c.lostDisk
 					s.run(20_000)
 					is.True(s.heal())                             // the group recovers
 					is.True(s.answered > 100 && s.barriers > 100) // the run did work
--- a/controller/replicator/status.go
+++ b/controller/replicator/status.go
@@ -15,7 +15,7 @@
 	Leader  wire.Node // empty ID if unknown
 	Commit  uint64
 	Applied uint64
-	Fresh   time.Time // last time a leader is known to have had a majority; zero if never
+	Fresh   time.Time // a leader had a majority at or after this time; zero if none is known
 	Nodes   []wire.Node
 }
 
@@ -36,7 +36,7 @@
 		s.Role = "learner"
 	}
 	if c.everFresh {
-		s.Fresh = r.started.Add(time.Duration(c.fresh) * Tick)
+		s.Fresh = r.started.Add(time.Duration(c.fresh-c.booted) * Tick)
 	}
 	old := r.status.Swap(&s)
 	if old != nil && (old.Role != s.Role || old.Term != s.Term || old.Leader.ID != s.Leader.ID) {
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -354,6 +354,10 @@
 	// Time since the leader last had a majority confirmed, in nanoseconds.
 	Age time.Duration `json:"age"`
 
+	// Clock of a follower in ticks, sent with its answers and repeated to it by the
+	// leader.
+	Clock uint64 `json:"clock"`
+
 	// Identity of the cluster.
 	Cluster string `json:"cluster"`
 
