Remember all released attempts of a key

Cause: the state machine kept only the last released attempt. After release A, claim B, release B a late claim of A was granted, and the key stayed blocked although nobody would run the call. Ruled out: a double run; only the daemon that named an attempt runs it. Change: a grant lists its released attempts, at most 16. A late claim of a released attempt is now answered released, which is stricter than the running that the test expected before.

--- a/controller/registrar/grants.go
+++ b/controller/registrar/grants.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"bluebellhoist/core/keyer"
@@ -70,15 +71,11 @@
 		return wire.Verdict{State: state}
 	}
 	old, exists := g.byKey[grantKey{c.Service, c.Key}]
-	if !exists {
-		g.put(wire.Grant{Claim: c, State: Running, At: clock})
-		return wire.Verdict{State: Granted}
+	if slices.Contains(old.Released, c.Attempt) {
+		return wire.Verdict{State: Released}
 	}
-	if old.State == Released {
-		if old.Claim.Attempt == c.Attempt {
-			return wire.Verdict{State: Released}
-		}
-		g.put(wire.Grant{Claim: c, State: Running, At: clock})
+	if !exists || old.State == Released {
+		g.put(wire.Grant{Claim: c, State: Running, At: clock, Released: old.Released})
 		return wire.Verdict{State: Granted}
 	}
 	if old.Claim.Digest != c.Digest {
@@ -96,13 +93,24 @@
 // release frees the key. Its attempt has not run and cannot be granted any more.
 func (g *grants) release(c wire.Claim, clock int64) wire.Verdict {
 	old, exists := g.byKey[grantKey{c.Service, c.Key}]
-	if exists && (old.State != Running || old.Claim.Attempt != c.Attempt) {
+	if exists && old.State != Released && (old.State != Running || old.Claim.Attempt != c.Attempt) {
 		return wire.Verdict{State: old.State}
 	}
-	g.put(wire.Grant{Claim: c, State: Released, At: clock})
+	g.put(wire.Grant{Claim: c, State: Released, At: clock, Released: released(old.Released, c.Attempt)})
 	return wire.Verdict{State: Released}
 }
 
+// released adds an attempt to the released ones of a key. A late claim of any of them must not be granted, since
+// nobody would run the call and the key would stay blocked. The list is bounded for callers that resend without end.
+func released(attempts []string, attempt string) []string {
+	const most = 16
+	if slices.Contains(attempts, attempt) {
+		return attempts
+	}
+	all := append(slices.Clone(attempts), attempt)
+	return all[max(0, len(all)-most):]
+}
+
 // finish stores the answer of the attempt that holds the key.
 func (g *grants) finish(c wire.Claim) wire.Verdict {
 	old, exists := g.byKey[grantKey{c.Service, c.Key}]
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -246,6 +246,9 @@
 	// Claim corresponds to the JSON schema field "claim".
 	Claim Claim `json:"claim"`
 
+	// Attempts that were given up and must not be granted any more.
+	Released []string `json:"released,omitempty,omitzero"`
+
 	// State: running, done or released.
 	State string `json:"state"`
 }
--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -34,6 +34,12 @@
 JSON
   "$bin/controller" --settings "$out/c1.json" init >"$out/init.log"
   for i in 1 2 3; do controller "$i"; done
+  for ((k = 0; k < 100; k++)); do
+    if ctl status 2>/dev/null | awk '$2 == "leader" {found = 1} END {exit !found}'; then return; fi
+    sleep 0.2
+  done
+  echo "no controller leads after 20 s" >&2
+  return 1
 }
 
 # daemon N
