--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -204,7 +204,7 @@
 	if sent == nil || sent.version != version {
 		return
 	}
-	name := fmt.Sprintf(`update_ack_seconds{batch=%q}`, sent.batch)
+	name := fmt.Sprintf(`bluebell_update_ack_seconds{batch=%q}`, sent.batch)
 	metrics.GetOrCreateHistogram(name).UpdateDuration(sent.at)
 }
 
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -170,12 +170,12 @@
 		}
 		return 0
 	}
-	set.NewGauge("controller_fresh", func() float64 { return flag(c.fresh()) })
-	set.NewGauge("controller_leading", func() float64 { return flag(c.replicator.Status().Role == "leader") })
-	set.NewGauge("controller_voting", func() float64 { return flag(c.replicator.Status().Self.Voter) })
-	set.NewGauge("log_applied_index", func() float64 { return float64(c.replicator.Status().Applied) })
-	set.NewGauge("config_version", func() float64 { return float64(c.registrar.View().Version()) })
-	set.NewGauge("daemons_connected", func() float64 { return float64(len(c.distributor.Daemons())) })
+	set.NewGauge("bluebell_controller_fresh", func() float64 { return flag(c.fresh()) })
+	set.NewGauge("bluebell_controller_leading", func() float64 { return flag(c.replicator.Status().Role == "leader") })
+	set.NewGauge("bluebell_controller_voting", func() float64 { return flag(c.replicator.Status().Self.Voter) })
+	set.NewGauge("bluebell_log_applied_index", func() float64 { return float64(c.replicator.Status().Applied) })
+	set.NewGauge("bluebell_config_version", func() float64 { return float64(c.registrar.View().Version()) })
+	set.NewGauge("bluebell_daemons_connected", func() float64 { return float64(len(c.distributor.Daemons())) })
 	return set
 }
 
--- a/daemon/exchanger/exchanger.go
+++ b/daemon/exchanger/exchanger.go
@@ -30,10 +30,10 @@
 
 // Bytes of gossip, without the headers of UDP, HTTP and TCP.
 var (
-	datagramsIn  = metrics.NewCounter(`control_bytes_total{link="datagram",direction="in"}`)
-	datagramsOut = metrics.NewCounter(`control_bytes_total{link="datagram",direction="out"}`)
-	exchangesIn  = metrics.NewCounter(`control_bytes_total{link="exchange",direction="in"}`)
-	exchangesOut = metrics.NewCounter(`control_bytes_total{link="exchange",direction="out"}`)
+	datagramsIn  = metrics.NewCounter(`bluebell_control_bytes_total{link="datagram",direction="in"}`)
+	datagramsOut = metrics.NewCounter(`bluebell_control_bytes_total{link="datagram",direction="out"}`)
+	exchangesIn  = metrics.NewCounter(`bluebell_control_bytes_total{link="exchange",direction="in"}`)
+	exchangesOut = metrics.NewCounter(`bluebell_control_bytes_total{link="exchange",direction="out"}`)
 )
 
 // ErrExchange reports an exchange that failed.
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -11,20 +11,20 @@
 // gauges shows the state of the daemon.
 func (d *daemon) gauges() *metrics.Set {
 	set := metrics.NewSet()
-	set.NewGauge("held_version", func() float64 {
+	set.NewGauge("bluebell_held_version", func() float64 {
 		if held := d.subscriber.Held(); held != nil {
 			return float64(held.Version())
 		}
 		return 0
 	})
-	set.NewGauge("contract_seconds_left", func() float64 {
+	set.NewGauge("bluebell_contract_seconds_left", func() float64 {
 		held := d.subscriber.Held()
 		if held == nil || !held.Covers(time.Now()) {
 			return 0
 		}
 		return time.Until(time.UnixMilli(held.Batch().Until)).Seconds()
 	})
-	set.NewGauge("members_alive", func() float64 {
+	set.NewGauge("bluebell_members_alive", func() float64 {
 		alive := 0
 		for _, m := range d.gossiper.Members() {
 			if m.State == gossiper.Alive {
@@ -33,7 +33,7 @@
 		}
 		return float64(alive)
 	})
-	set.NewGauge("upstream_load", func() float64 { return float64(d.limiter.Load()) })
-	set.NewGauge("upstream_limit", func() float64 { return float64(d.limiter.Limit()) })
+	set.NewGauge("bluebell_upstream_load", func() float64 { return float64(d.limiter.Load()) })
+	set.NewGauge("bluebell_upstream_limit", func() float64 { return float64(d.limiter.Limit()) })
 	return set
 }
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -19,8 +19,8 @@
 
 // Bytes of session messages, without the framing of WebSocket and TCP.
 var (
-	bytesIn  = metrics.NewCounter(`control_bytes_total{link="session",direction="in"}`)
-	bytesOut = metrics.NewCounter(`control_bytes_total{link="session",direction="out"}`)
+	bytesIn  = metrics.NewCounter(`bluebell_control_bytes_total{link="session",direction="in"}`)
+	bytesOut = metrics.NewCounter(`bluebell_control_bytes_total{link="session",direction="out"}`)
 )
 
 // session is one connection to a controller.
