Use one mesh for tests and benchmark

Change: the benchmark runs on the tests' mesh over loopback; expiry and drain share one test; cases for a body over 1 MiB and an upstream that starts late.

--- a/daemon/forwarder/egress_test.go
+++ b/daemon/forwarder/egress_test.go
@@ -256,38 +256,15 @@
 	})
 }
 
-// TestLapse guards against new calls after the expiry, and against breaking calls that are in progress.
-func TestLapse(t *testing.T) {
-	run(t, "mesh", 1, func(m *mesh) {
-		m.snapshot = snapshot(m.t, time.Now().Add(time.Second))
-		m.upstream(func(http.ResponseWriter, *http.Request) { time.Sleep(2 * time.Second) })
-		var wg sync.WaitGroup
-		wg.Go(func() {
-			resp, _, err := m.call("POST", "stock", "")
-			m.expect(resp, err, 200, "")
-		})
-		time.Sleep(time.Second)
-		resp, _, err := m.call("POST", "stock", "")
-		m.expect(resp, err, 410, "not-run")
-		wg.Wait()
-	})
-}
-
 // TestSilentConnection guards against calls that wait for their deadline on a connection that went silent while new
 // connections work.
 func TestSilentConnection(t *testing.T) {
 	for method, status := range map[string]int{"GET": 200, "POST": 502} {
 		run(t, method, 0, func(m *mesh) {
-			silence := make(chan struct{})
+			var once sync.Once
 			ingress := m.newIngress().Ingress()
 			m.addMember(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				select {
-				case <-silence:
-				default:
-					m.net.silence(m.members[0].Addr)
-					close(silence)
-					<-r.Context().Done()
-				}
+				once.Do(func() { m.net.silence(m.members[0].Addr); <-r.Context().Done() })
 				ingress.ServeHTTP(w, r)
 			}))
 			m.addMember(ingress)
@@ -302,30 +279,32 @@
 	}
 }
 
-// TestDrain guards against a planned stop that interrupts calls in progress or takes new ones.
-func TestDrain(t *testing.T) {
+// TestEnd guards against an expiry or a planned stop that interrupts calls in progress or takes new ones.
+func TestEnd(t *testing.T) {
 	run(t, "mesh", 0, func(m *mesh) {
 		ingress := m.newIngress()
 		m.addMember(ingress.Ingress())
-		m.upstream(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
-		var wg sync.WaitGroup
-		wg.Go(func() {
+		m.upstream(func(http.ResponseWriter, *http.Request) { time.Sleep(2 * time.Second) })
+		call := func(status int, outcome string) *http.Response {
 			resp, _, err := m.call("POST", "stock", "")
-			m.expect(resp, err, 200, "")
-		})
-		synctest.Wait()
+			m.expect(resp, err, status, outcome)
+			return resp
+		}
+		m.snapshot = snapshot(m.t, time.Now().Add(time.Second))
+		var wg sync.WaitGroup
+		wg.Go(func() { call(200, "") })
+		time.Sleep(time.Second)
+		call(410, "not-run") // the batch has lapsed
+		m.snapshot = snapshot(m.t, time.Now().Add(time.Hour))
 		started := time.Now()
 		wg.Go(func() {
 			m.is.NoErr(ingress.Drain(m.t.Context()))
-			m.is.Equal(time.Since(started), time.Second)
+			m.is.Equal(time.Since(started), time.Second) // the call in progress ends first
 		})
 		synctest.Wait()
-		resp, _, err := m.call("POST", "stock", "")
-		m.expect(resp, err, 503, "not-run")
+		call(503, "not-run")
 		wg.Wait()
 		m.is.NoErr(m.egress.Drain(m.t.Context()))
-		resp, _, err = m.call("POST", "stock", "")
-		m.expect(resp, err, 503, "not-run")
-		m.is.True(resp.Close) // callers move to another daemon
+		m.is.True(call(503, "not-run").Close) // callers move to another daemon
 	})
 }
--- a/daemon/forwarder/fixture_test.go
+++ b/daemon/forwarder/fixture_test.go
@@ -30,14 +30,17 @@
 	upstreamAddr = netip.MustParseAddrPort("10.0.0.9:80")
 )
 
-// network connects addresses by net.Pipe, so that time in a synctest bubble advances while connections wait.
+// network connects addresses by net.Pipe, so that time in a synctest bubble advances while connections wait, or for
+// benchmarks by loopback.
 type network struct {
+	loopback  bool
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*listener
 	open, top int // connections to the upstream, and the most at one time
 }
 
 type listener struct {
+	tcp    net.Listener // on loopback
 	conns  chan net.Conn
 	done   context.Context
 	stop   context.CancelFunc
@@ -79,12 +82,16 @@
 	return p.Conn.Close()
 }
 
-func (n *network) listen(addr netip.AddrPort) *listener {
+func (n *network) listen(addr netip.AddrPort) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := &listener{conns: make(chan net.Conn), silent: &atomic.Bool{}}
 	l.done, l.stop = context.WithCancel(context.Background())
 	n.listeners[addr] = l
+	if n.loopback {
+		l.tcp, _ = net.Listen("tcp", "127.0.0.1:0")
+		return l.tcp
+	}
 	return l
 }
 
@@ -95,6 +102,9 @@
 	if l == nil {
 		return nil, errors.New("connection refused")
 	}
+	if n.loopback {
+		return net.Dial("tcp", l.tcp.Addr().String())
+	}
 	near, far := net.Pipe()
 	select {
 	case l.conns <- &pipe{far, l.silent, func() {}}:
@@ -126,11 +136,11 @@
 
 // mesh is an egress side, members with an ingress side, and one upstream that all members share.
 type mesh struct {
-	t       *testing.T
+	t       testing.TB
 	is      *is.I
 	net     network
 	metrics *metrics.Set
-	client  http.Client
+	client  *http.Client
 	egress  *forwarder.Forwarder
 	members []wire.Member
 	claims  claims
@@ -146,10 +156,10 @@
 	freed    []forwarder.Outcome // at the limiter
 }
 
-func newMesh(t *testing.T, members int) *mesh {
+func newMesh(t testing.TB, members int, loopback bool) *mesh {
 	m := &mesh{t: t, is: is.New(t), metrics: metrics.NewSet(), conns: 8, service: "stock"}
-	m.net.listeners = map[netip.AddrPort]*listener{}
-	m.claims.grants, m.claims.done = map[string]*wire.Claim{}, map[string]bool{}
+	m.net.loopback, m.net.listeners = loopback, map[netip.AddrPort]*listener{}
+	m.claims.grants, m.claims.done = map[string]wire.Claim{}, map[string]bool{}
 	m.snapshot = snapshot(t, time.Now().Add(time.Hour))
 	m.egress = forwarder.New(forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot }),
 		forwarder.WithPick(m.pick), forwarder.WithDial(m.net.dial), forwarder.WithMetrics(m.metrics))
@@ -157,19 +167,24 @@
 	for range members {
 		m.addMember(m.newIngress().Ingress())
 	}
-	transport := &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return m.net.dial(ctx, callsAddr)
-	}}
-	m.client.Transport = transport
-	t.Cleanup(transport.CloseIdleConnections)
+	m.client = m.newClient(callsAddr)
 	t.Cleanup(m.egress.Close)
 	return m
 }
 
+// newClient returns a client whose calls all go to addr.
+func (m *mesh) newClient(addr netip.AddrPort) *http.Client {
+	transport := &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return m.net.dial(ctx, addr)
+	}}
+	m.t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
 // run runs f in a subtest and a synctest bubble on a mesh with as many members as given.
 func run(t *testing.T, name string, members int, f func(m *mesh)) {
 	t.Run(name, func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) { f(newMesh(t, members)) })
+		synctest.Test(t, func(t *testing.T) { f(newMesh(t, members, false)) })
 	})
 }
 
@@ -211,7 +226,7 @@
 // rawUpstream serves each connection of the upstream by f.
 func (m *mesh) rawUpstream(f func(net.Conn)) {
 	l := m.net.listen(upstreamAddr)
-	m.t.Cleanup(l.stop)
+	m.t.Cleanup(func() { l.Close() })
 	go func() {
 		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
 			go func() { defer conn.Close(); f(conn) }()
@@ -291,7 +306,7 @@
 // claims grants each key to one attempt, as the controllers do.
 type claims struct {
 	mu     sync.Mutex
-	grants map[string]*wire.Claim
+	grants map[string]wire.Claim
 	done   map[string]bool
 	lose   int // answers to lose after granting
 }
@@ -299,10 +314,10 @@
 func (c *claims) claim(_ context.Context, claim wire.Claim) (wire.Verdict, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held := c.grants[claim.Key]
+	held, exists := c.grants[claim.Key]
 	switch {
-	case held == nil:
-		c.grants[claim.Key] = &claim
+	case !exists:
+		c.grants[claim.Key] = claim
 	case held.Digest != claim.Digest:
 		return wire.Verdict{State: "mismatch"}, nil
 	case c.done[claim.Key]:
@@ -310,8 +325,7 @@
 	case held.Attempt != claim.Attempt:
 		return wire.Verdict{State: "running"}, nil
 	}
-	if c.lose > 0 {
-		c.lose--
+	if c.lose--; c.lose >= 0 {
 		return wire.Verdict{}, errors.New("answer lost")
 	}
 	return wire.Verdict{State: "granted"}, nil
@@ -320,7 +334,7 @@
 func (c *claims) release(claim wire.Claim) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if held := c.grants[claim.Key]; held != nil && held.Attempt == claim.Attempt {
+	if c.grants[claim.Key].Attempt == claim.Attempt {
 		delete(c.grants, claim.Key)
 	}
 }
@@ -328,5 +342,5 @@
 func (c *claims) finish(claim wire.Claim) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.grants[claim.Key], c.done[claim.Key] = &claim, true
+	c.grants[claim.Key], c.done[claim.Key] = claim, true
 }
--- a/daemon/forwarder/ingress_test.go
+++ b/daemon/forwarder/ingress_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -35,7 +34,7 @@
 	const ok = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\npaid"
 	cases := []struct {
 		name          string
-		reads         int // bytes that the upstream reads before it closes; -1 for the whole request
+		reads         int // bytes that the upstream reads before it closes; -1 for the whole request, -2 to start it late
 		answer        string
 		lose          int // claim answers to lose
 		status, again int // of the call, and of a call with the same key afterwards
@@ -43,6 +42,7 @@
 		runs          int
 	}{
 		{"answered", -1, ok, 0, 200, 200, "", 1},
+		{"unreachable at first", -2, ok, 0, 503, 200, "not-run", 1},
 		{"closed before the write", 0, "", 0, 409, 409, "unknown", 0},
 		{"closed during the write", 20, "", 0, 409, 409, "unknown", 0},
 		{"closed after the write", -1, "", 0, 409, 409, "unknown", 1},
@@ -57,24 +57,30 @@
 			m.service = "payout"
 			m.claims.lose = c.lose
 			var runs, conns atomic.Int32
-			m.rawUpstream(func(conn net.Conn) {
+			upstream := func(conn net.Conn) {
 				conns.Add(1)
 				if c.reads >= 0 {
 					_, _ = io.ReadFull(conn, make([]byte, c.reads))
-					return
-				}
-				if readRequest(conn) {
+				} else if readRequest(conn) {
 					runs.Add(1)
 					_, _ = io.WriteString(conn, c.answer)
 				}
-			})
+			}
+			if c.reads != -2 {
+				m.rawUpstream(upstream)
+			}
 			key := newKey(bubbleStart)
 			resp, _, err := m.call("POST", "payout", "10 won", forwarder.HeaderKey, key)
 			m.expect(resp, err, c.status, c.outcome)
+			if c.reads == -2 {
+				m.is.Equal(m.freed[0].Result, forwarder.Unreachable)
+				m.is.Equal(len(m.claims.grants), 0) // the claim of a call that was not sent is released
+				m.rawUpstream(upstream)
+			}
 			resp, body, err := m.call("POST", "payout", "10 won", forwarder.HeaderKey, strings.ToUpper(key))
 			m.is.NoErr(err)
 			m.is.Equal(resp.StatusCode, c.again)
-			m.is.Equal(resp.Header.Get(forwarder.HeaderReplayed) != "", c.again != 409 && c.lose < 3)
+			m.is.Equal(resp.Header.Get(forwarder.HeaderReplayed) != "", c.again != 409 && c.status != 503 || c.name == "shed")
 			m.is.True(c.again == 409 || body == "paid")
 			m.is.Equal(int(runs.Load()), c.runs)
 			m.is.Equal(int(conns.Load()), 1) // written at most once
@@ -84,21 +90,6 @@
 	}
 }
 
-// TestUnreachableUpstream guards against keeping the claim of a call that was never sent.
-func TestUnreachableUpstream(t *testing.T) {
-	run(t, "mesh", 1, func(m *mesh) {
-		m.service = "payout"
-		key := newKey(bubbleStart)
-		resp, _, err := m.call("POST", "payout", "x", forwarder.HeaderKey, key)
-		m.expect(resp, err, 503, "not-run")
-		m.is.Equal(len(m.claims.grants), 0)
-		m.upstream(func(http.ResponseWriter, *http.Request) {})
-		resp, _, err = m.call("POST", "payout", "x", forwarder.HeaderKey, key)
-		m.expect(resp, err, 200, "")
-		m.is.Equal(m.freed[0].Result, forwarder.Unreachable)
-	})
-}
-
 // TestClaimDecision guards against a once call that runs without a claim at a daemon that has no configuration, against
 // running a request twice that was delivered twice, and against two spellings of a key as two claims.
 func TestClaimDecision(t *testing.T) {
@@ -107,12 +98,13 @@
 		name, once string
 		held       bool      // the ingress side holds a snapshot
 		keys, want [2]string // of two deliveries
-		runs       int
+		runs, size int
 	}{
-		{"egress says once", "true", false, [2]string{key, key}, [2]string{"502", "409"}, 1},
-		{"ingress knows once", "false", true, [2]string{key, strings.ToUpper(key)}, [2]string{"502", "409"}, 1},
-		{"no key", "false", true, [2]string{}, [2]string{"400", "400"}, 0},
-		{"not by a daemon", "", false, [2]string{key, key}, [2]string{"400", "400"}, 0},
+		{"egress says once", "true", false, [2]string{key, key}, [2]string{"502", "409"}, 1, 1 << 20},
+		{"ingress knows once", "false", true, [2]string{key, strings.ToUpper(key)}, [2]string{"502", "409"}, 1, 1},
+		{"too large", "true", false, [2]string{key, key}, [2]string{"413", "413"}, 0, 1<<20 + 1},
+		{"no key", "false", true, [2]string{}, [2]string{"400", "400"}, 0, 1},
+		{"not by a daemon", "", false, [2]string{key, key}, [2]string{"400", "400"}, 0, 1},
 	}
 	for _, c := range cases {
 		run(t, c.name, 0, func(m *mesh) {
@@ -124,7 +116,7 @@
 				forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot })(f)
 			}
 			for i, key := range c.keys {
-				req := httptest.NewRequest("POST", "http://payout", strings.NewReader("x"))
+				req := httptest.NewRequest("POST", "http://payout", strings.NewReader(strings.Repeat("x", c.size)))
 				for name, value := range map[string]string{forwarder.HeaderClass: "urgent", forwarder.HeaderAttempt: "same",
 					forwarder.HeaderOnce: c.once, forwarder.HeaderKey: key} {
 					req.Header.Set(name, value)
@@ -198,15 +190,10 @@
 				ended = time.Since(started)
 			})
 			key := newKey(bubbleStart)
-			ctx, cancel := context.WithTimeout(m.t.Context(), c.leave)
-			defer cancel()
-			req, err := http.NewRequestWithContext(ctx, "GET", "http://"+c.service+"/run?x=1", nil)
-			m.is.NoErr(err)
-			req.Header.Set(forwarder.HeaderKey, key)
-			resp, err := m.client.Do(req)
+			m.client.Timeout = c.leave
+			resp, _, err := m.call("GET", c.service, "", forwarder.HeaderKey, key)
 			if c.leave == time.Hour {
 				m.expect(resp, err, 504, "unknown")
-				resp.Body.Close()
 			} else {
 				m.is.True(err != nil)
 			}
