Check membership changes and isolated nodes in the simulation

Change: every membership in a leader's log differs from the one before by at most one voter, and at most one is uncommitted. An isolated leader steps down, and an isolated node does not raise the term when it comes back.

--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -375,6 +375,45 @@
 			s.voters[node.ID] = true
 		}
 	}
+	s.checkChanges(n)
+}
+
+// checkChanges guards against memberships whose majorities need not intersect.
+func (s *sim) checkChanges(n *simNode) {
+	l, open := n.core.log, 0
+	var before []wire.Node
+	for _, e := range l.entries {
+		if len(e.Nodes) == 0 {
+			continue
+		}
+		if e.Index > l.commit {
+			open++
+		}
+		if changed := changedVoters(before, e.Nodes); before != nil && changed > 1 {
+			s.t.Fatalf("step %d: %s changes %d voters at %d", s.now, n.self.ID, changed, e.Index)
+		}
+		before = e.Nodes
+	}
+	if open > 1 {
+		s.t.Fatalf("step %d: %s has %d uncommitted membership changes", s.now, n.self.ID, open)
+	}
+}
+
+func changedVoters(a, b []wire.Node) (count int) {
+	voters := map[string]int{}
+	for i, nodes := range [][]wire.Node{a, b} {
+		for _, n := range nodes {
+			if n.Voter {
+				voters[n.ID] += 1 + i
+			}
+		}
+	}
+	for _, in := range voters {
+		if in != 3 {
+			count++
+		}
+	}
+	return count
 }
 
 // heal ends all faults and waits until every node is a voter and holds what was acknowledged.
@@ -390,6 +429,27 @@
 	return false
 }
 
+// TestIsolated guards against a leader that stays one without a majority, and against a node that disturbs the others
+// when its partition heals.
+func TestIsolated(t *testing.T) {
+	for _, leads := range []bool{true, false} {
+		t.Run(fmt.Sprintf("leader=%v", leads), func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 3, 1)
+			is.True(s.heal())
+			i := slices.IndexFunc(s.nodes, func(n *simNode) bool { return (n.core.role == leader) == leads })
+			s.side[i] = 1
+			s.run(2 * electionTicks * stepsPerTick)
+			is.True(s.nodes[i].core.role != leader)
+			s.run(100 * electionTicks * stepsPerTick)
+			term := s.maxTerm()
+			clear(s.side)
+			s.run(electionTicks * stepsPerTick)
+			is.Equal(s.maxTerm(), term) // pre-vote keeps the term
+		})
+	}
+}
+
 // TestFaults guards against two leaders in a term, lost or reordered commits, stale barriers, votes of fresh disks and a
 // group that does not recover.
 func TestFaults(t *testing.T) {
