Bound callers that stop reading, and rate broken answers by their cause

Cause: a caller that read nothing kept a drain from ending, and a caller that left or a passed deadline in the middle of a long answer counted as a failure of the member and of the upstream. Ruled out: a deadline for each write, since the server's own limit covers the whole answer. Change: the server for callers limits an answer to 75 s from the request; long answers that break off are rated as timeout, canceled or failed. Conclusion: TestStuckCaller drains after 10 s and 75 s of test time and fails without the limits.

--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -113,7 +113,7 @@
 		skip = append(skip, member.Name)
 		t := d.try(ctx, member.Addr.String())
 		if t.final {
-			return d.deliver(t, report, mayRun)
+			return d.deliver(ctx, t, report, mayRun)
 		}
 		report(t.outcome)
 		last = t.answer
@@ -139,14 +139,14 @@
 }
 
 // deliver passes on the answer of a member. Its outcome is reported when it was written.
-func (d *delivery) deliver(t tried, report func(Outcome), mayRun bool) result {
+func (d *delivery) deliver(ctx context.Context, t tried, report func(Outcome), mayRun bool) result {
 	if mayRun && t.notRun {
 		t.answer.header.Set(HeaderOutcome, Unknown)
 	}
 	return result{answer: t.answer, done: func(err error) {
 		t.answer.close()
 		if errors.Is(err, errBroken) {
-			t.outcome.Result = Failed
+			t.outcome.Result = failure(ctx)
 		}
 		report(t.outcome)
 	}}
@@ -250,13 +250,7 @@
 
 // fail decides what an attempt without a whole answer means.
 func (d *delivery) fail(ctx context.Context, addr string, err error, connected bool) tried {
-	t := tried{outcome: Outcome{Load: -1, Result: Failed}}
-	switch {
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		t.outcome.Result = Timeout
-	case ctx.Err() != nil:
-		t.outcome.Result = Canceled
-	}
+	t := tried{outcome: Outcome{Load: -1, Result: failure(ctx)}}
 	text := fmt.Sprintf("service %q at %s: %v", d.call.service.Name, addr, err)
 	if connected {
 		t.again = d.call.repeatable(d.request.Method)
--- a/daemon/forwarder/egress_test.go
+++ b/daemon/forwarder/egress_test.go
@@ -308,3 +308,37 @@
 		m.is.True(call(503, "not-run").Close) // callers move to another daemon
 	})
 }
+
+// TestStuckCaller guards against callers that stop sending or reading and so keep a planned stop from ending.
+func TestStuckCaller(t *testing.T) {
+	cases := []struct {
+		name, request string
+		runs          int32
+		ends          time.Duration
+	}{
+		{"sends half a body", "POST / HTTP/1.1\r\nHost: stock\r\nContent-Length: 9\r\n\r\nhalf", 0, 10 * time.Second},
+		{"sends half a long body", "POST / HTTP/1.1\r\nHost: stock\r\nContent-Length: 99999\r\n\r\n" + strings.Repeat("x", 80000), 0, 10 * time.Second},
+		{"reads no answer", "GET / HTTP/1.1\r\nHost: stock\r\n\r\n", 1, 75 * time.Second},
+	}
+	for _, c := range cases {
+		run(t, c.name, 1, func(m *mesh) {
+			var runs atomic.Int32
+			m.upstream(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.Copy(io.Discard, r.Body); err == nil {
+					runs.Add(1)
+					fmt.Fprint(w, strings.Repeat("x", 20<<10))
+				}
+			})
+			conn, err := m.net.dial(m.t.Context(), callsAddr)
+			m.is.NoErr(err)
+			started := time.Now()
+			_, err = io.WriteString(conn, c.request)
+			m.is.NoErr(err)
+			synctest.Wait()
+			m.is.NoErr(m.egress.Drain(m.t.Context()))
+			m.is.Equal(time.Since(started), c.ends)
+			m.is.Equal(runs.Load(), c.runs)
+			m.is.NoErr(conn.Close())
+		})
+	}
+}
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -56,6 +56,17 @@
 	Unreachable
 )
 
+// failure returns the result of an attempt that failed after it may have been sent.
+func failure(ctx context.Context) Result {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return Timeout
+	case ctx.Err() != nil:
+		return Canceled
+	}
+	return Failed
+}
+
 // Outcome describes the end of an attempt to the picker and to the limiter.
 type Outcome struct {
 	Result  Result
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -214,7 +214,7 @@
 	defer a.close()
 	c.outcome.Result = rate(a.status)
 	c.f.addLoad(a)
-	c.pass(w, a)
+	c.pass(ctx, w, a)
 }
 
 // exchange returns the answer of the upstream, or an error and whether the call may have been sent.
@@ -272,14 +272,10 @@
 		}
 		return refusal(http.StatusServiceUnavailable, NotRun, "upstream: %v", err)
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.outcome.Result = Timeout
+	c.outcome.Result = failure(ctx)
+	if c.outcome.Result == Timeout {
 		return refusal(http.StatusGatewayTimeout, Unknown, "upstream: no answer before the deadline")
 	}
-	c.outcome.Result = Failed
-	if ctx.Err() != nil {
-		c.outcome.Result = Canceled
-	}
 	return refusal(http.StatusBadGateway, Unknown, "upstream: %v", err)
 }
 
@@ -295,7 +291,7 @@
 }
 
 // pass writes the answer, and stores it with the claim of a once call.
-func (c *arrival) pass(w http.ResponseWriter, a *answer) {
+func (c *arrival) pass(ctx context.Context, w http.ResponseWriter, a *answer) {
 	if c.once && a.rest == nil {
 		c.store(a)
 	}
@@ -304,7 +300,7 @@
 	}
 	err := a.write(w, c.request.Method)
 	if errors.Is(err, errBroken) {
-		c.outcome.Result = Failed
+		c.outcome.Result = failure(ctx)
 		panic(http.ErrAbortHandler)
 	}
 	if c.once && a.rest != nil {
--- a/daemon/forwarder/peer.go
+++ b/daemon/forwarder/peer.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"bluebellhoist/core/compiler"
 )
 
 // maxStreams is the number of calls that another daemon may have in progress on one connection. It exceeds the slots
@@ -56,7 +58,13 @@
 	}
 }
 
-// NewCallServer returns a server for callers.
+// NewCallServer returns a server for callers. A caller that does not read its answer holds a call no longer than the
+// longest limit and some time for the answer, so that a planned stop ends.
 func NewCallServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute}
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: 5 * time.Second,
+		WriteTimeout:      compiler.MaxLimit + 15*time.Second,
+		IdleTimeout:       2 * time.Minute,
+	}
 }
