Answer all proposals before leadership is transferred

Cause: a planned transfer could start while entries were not committed, and a forwarded proposal ended as soon as another leader was known, even if the answer of the old one was on its way. Both report an unknown outcome at a planned stop. Change: the leader asks its successor only after its whole log is committed. After a change of leader a forwarded proposal waits 500 ms more for its answer. The test of the runtime proposes on all nodes during a transfer and accepts no error. Ruled out: sending the proposal again without asking the caller, who decides about repeats.

--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -19,6 +19,7 @@
 	electionTicks  = 20  // the election timeout is 1 to 2 times this: 1-2 s
 	silentTicks    = 200 // 10 s until a lost identity is replaced
 	joinTicks      = 20
+	graceTicks     = 10 // 500 ms for the answer of a leader that was replaced
 	answerTicks    = 60 // longer than the longest election timeout, after which a cut-off leader has stepped down
 )
 
--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -144,7 +144,8 @@
 			continue
 		}
 		c.sendAppend(p, !p.probing && p.commit < c.log.commit)
-		if n.ID == c.target && p.match == c.log.last() {
+		// All proposals are answered before the transfer, so that a planned stop leaves no unknown outcomes.
+		if n.ID == c.target && p.match == c.log.last() && c.log.commit == c.log.last() {
 			c.sendLate(n.Addr, c.packet(kindTransfer, n.ID))
 		}
 	}
--- a/controller/replicator/proposal.go
+++ b/controller/replicator/proposal.go
@@ -19,7 +19,7 @@
 type forward struct {
 	proposal
 	sent     bool
-	to       string // leader it was sent to
+	to       string // leader when it was sent or last looked at
 	deadline uint64 // tick at which a sent proposal counts as unanswered
 }
 
@@ -87,8 +87,12 @@
 func (c *core) retryForwards() {
 	for _, id := range sortedKeys(c.waiting) {
 		f := c.waiting[id]
+		if f.sent && c.lead.ID != "" && c.lead.ID != f.to {
+			// The old leader may have answered before it handed over, but probably it is lost.
+			f.to, f.deadline = c.lead.ID, min(f.deadline, c.tick+graceTicks)
+		}
 		switch {
-		case f.sent && (c.tick >= f.deadline || c.lead.ID != "" && c.lead.ID != f.to):
+		case f.sent && c.tick >= f.deadline:
 			c.endForward(answer{id: id, err: ErrUnknown})
 		case !f.sent && c.role == leader && c.target == "":
 			delete(c.waiting, id)
--- a/controller/replicator/replicator_test.go
+++ b/controller/replicator/replicator_test.go
@@ -134,7 +134,18 @@
 		is.NoErr(err)
 		is.NoErr(g.nodes[addr(1)].Barrier(ctx))
 		is.True(g.last[1] >= result.Version) // applied here before the barrier returns
+		var callers sync.WaitGroup
+		for i := range 60 {
+			callers.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				if _, err := g.nodes[addr(i%3)].Propose(ctx, wire.Command{Expire: true}); err != nil {
+					t.Error(err) // a planned stop leaves no unknown outcome
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
 		is.NoErr(g.nodes[addr(0)].Transfer(ctx))
+		callers.Wait()
 		is.True(g.nodes[addr(0)].Status().Role != "leader")
 		_, err = g.nodes[addr(0)].Propose(ctx, wire.Command{Expire: true})
 		is.NoErr(err)
