Keep load on the loopback interface and deadlines honest

Ruled out: trusting targets that were checked once. An HTTP client follows redirects, which could lead elsewhere. Conclusion: no change of flags or formats.

--- a/bluebellctl/client.go
+++ b/bluebellctl/client.go
@@ -25,7 +25,8 @@
 }
 
 func newClient(controllers []netip.AddrPort, attempt time.Duration) *client {
-	return &client{controllers: controllers, attempt: attempt, http: &http.Client{}}
+	// Controllers are addressed directly: a proxy from the environment could hold a change back and send it late.
+	return &client{controllers: controllers, attempt: attempt, http: &http.Client{Transport: &http.Transport{}}}
 }
 
 // answer is the answer of one controller.
--- a/loadgen/auditor/auditor.go
+++ b/loadgen/auditor/auditor.go
@@ -11,6 +11,8 @@
 	"net/netip"
 	"os"
 	"time"
+
+	"bluebellhoist/loadgen/generator"
 )
 
 // ErrRuns reports counts of runs that could not be read.
@@ -50,7 +52,7 @@
 		entries: map[id]entry{},
 		runs:    map[id]int{},
 		once:    map[string]bool{},
-		client:  &http.Client{Timeout: 10 * time.Second},
+		client:  &http.Client{Timeout: 10 * time.Second, CheckRedirect: generator.Stay},
 	}
 	for _, name := range once {
 		a.once[name] = true
--- a/loadgen/generator/generator.go
+++ b/loadgen/generator/generator.go
@@ -86,11 +86,12 @@
 		opt(g)
 	}
 	// Connections are kept for all calls in progress, so that a burst does not measure connects.
-	g.client = &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		MaxIdleConnsPerHost: g.inflight,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
-	}}
+	}
+	g.client = &http.Client{Transport: transport, CheckRedirect: Stay}
 	return g, g.validate()
 }
 
@@ -127,6 +128,11 @@
 	return nil
 }
 
+// Stay keeps an HTTP client from following redirects, which could lead off the loopback interface.
+func Stay(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
 // Loopback reports the first address that is not on the loopback interface.
 func Loopback(addrs []netip.AddrPort) error {
 	for _, addr := range addrs {
--- a/loadgen/generator/plan.go
+++ b/loadgen/generator/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -54,7 +55,7 @@
 
 func newPlanner(g *Generator) *planner {
 	var seed [32]byte
-	seed[0], seed[1], seed[2], seed[3] = byte(g.seed), byte(g.seed>>8), byte(g.seed>>16), byte(g.seed>>24)
+	binary.LittleEndian.PutUint64(seed[:], g.seed)
 	stream := rand.NewChaCha8(seed)
 	p := &planner{
 		source:   rand.New(stream),
--- a/standin/responder/nested.go
+++ b/standin/responder/nested.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"bluebellhoist/core/echoer"
 )
@@ -36,6 +38,9 @@
 	}
 	out.Host = w.next
 	copyHeaders(out.Header, in.Header)
+	if end, ok := ctx.Deadline(); ok {
+		out.Header.Set(deadlineHeader, strconv.FormatInt(time.Until(end).Milliseconds(), 10))
+	}
 	resp, err := r.client.Do(out)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %v", errNested, w.next, err)
--- a/standin/responder/responder_test.go
+++ b/standin/responder/responder_test.go
@@ -95,13 +95,14 @@
 	defer daemon.Close()
 	server, records := start(t, WithSlots(3), WithCalls(netip.MustParseAddrPort(daemon.Listener.Addr().String())))
 	next = server.Config.Handler
-	header := http.Header{"Bluebell-Depth": {"3"}, keyHeader: {"k"}, "Other": {"x"}}
+	header := http.Header{"Bluebell-Depth": {"3"}, deadlineHeader: {"600000"}, keyHeader: {"k"}, "Other": {"x"}}
 	resp, _ := send(t, server, "/a?call=b,c", header)
 	is.Equal(resp.StatusCode, 200)
 	is.Equal(hosts, []string{"b", "c"})
 	is.Equal(paths, []string{"/a?call=c", "/a"})
 	is.Equal(headers[1].Get("Bluebell-Depth"), "3")
 	is.Equal(headers[1].Get("Other"), "")
+	is.True(headers[1].Get(deadlineHeader) < "600000") // the time already spent is taken off
 	is.Equal(records.Runs()["k"], 3)
 }
 
