--- a/controller/registrar/registrar.go
+++ b/controller/registrar/registrar.go
@@ -82,7 +82,7 @@
 // Restore replaces the state with a saved one.
 func (r *Registrar) Restore(data []byte) error {
 	var state wire.State
-	if err := encoder.Unmarshal(data, &state); err != nil {
+	if err := encoder.UnmarshalState(data, &state); err != nil {
 		return fmt.Errorf("%w: %v", ErrState, err)
 	}
 	r.version, r.clock, r.graves = state.Version, state.Clock, state.Graves
--- a/controller/registrar/registrar_test.go
+++ b/controller/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"bytes"
 	"flag"
 	"os"
 	"strconv"
@@ -13,6 +14,7 @@
 
 	"bluebellhoist/controller/registrar"
 	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/keyer"
 	"bluebellhoist/core/wire"
 )
@@ -157,6 +159,24 @@
 	is.True(!ok)
 }
 
+// TestLargeState guards against a state that is saved and then too large to be restored.
+func TestLargeState(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	for range 17 << 10 {
+		c := wire.Claim{Service: "pay", Key: uuid.Must(uuid.NewV7()).String(), Attempt: "1", Body: make([]byte, 1<<10)}
+		r.Apply(wire.Command{At: time.Now().UnixMilli(), Claim: &c})
+	}
+	saved, err := r.Save()
+	is.NoErr(err)
+	is.True(len(saved) > encoder.MaxMessage)
+	restored := registrar.New()
+	is.NoErr(restored.Restore(saved))
+	again, err := restored.Save()
+	is.NoErr(err)
+	is.True(bytes.Equal(saved, again))
+}
+
 func keyAt(at time.Time, n byte) string {
 	var id uuid.UUID
 	ms := uint64(at.UnixMilli())
--- a/core/encoder/encoder.go
+++ b/core/encoder/encoder.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -19,14 +20,20 @@
 
 var (
 	encMode = mustMode(cbor.CoreDetEncOptions().EncMode())
-	decMode = mustMode(cbor.DecOptions{
+	decMode = mustMode(decOptions(1 << 20).DecMode())
+	// Saved state comes from our own data folder and holds as many claims as there are.
+	stateMode = mustMode(decOptions(math.MaxInt32).DecMode())
+)
+
+func decOptions(elements int) cbor.DecOptions {
+	return cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxNestedLevels:  16,
-		MaxArrayElements: 1 << 20,
+		MaxArrayElements: elements,
 		MaxMapPairs:      1 << 16,
 		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode())
-)
+	}
+}
 
 func mustMode[M any](mode M, err error) M {
 	if err != nil {
@@ -54,3 +61,11 @@
 	}
 	return nil
 }
+
+// UnmarshalState decodes saved state into v, without a limit on its size.
+func UnmarshalState(data []byte, v any) error {
+	if err := stateMode.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	return nil
+}
