Write a checkpoint only when the log has outgrown the last one

Cause: a checkpoint followed every 8192 entries whatever its size, so a large state was written and synced again and again while the log waited. Ruled out: a checkpoint beside the log's goroutine; the state machine would need copies of itself. Change: a checkpoint waits until the log is as large as the last one. Conclusion: the log holds as many bytes as the state, also in memory.

--- a/controller/replicator/replicator.go
+++ b/controller/replicator/replicator.go
@@ -243,10 +243,11 @@
 	r.send(to.node.Addr, p)
 }
 
-// compact makes a checkpoint when enough entries were applied since the last one.
+// compact makes a checkpoint when enough entries were applied since the last one and the log has grown larger than it,
+// so that a large state is not written again and again.
 func (r *Replicator) compact() error {
 	l := r.core.log
-	if l.delivered < l.checkpoint.Index+compactEvery {
+	if l.delivered < l.checkpoint.Index+compactEvery || r.store.LogSize() < int64(len(l.checkpoint.Data)) {
 		return nil
 	}
 	state, err := r.save()
--- a/controller/replicator/replicator_test.go
+++ b/controller/replicator/replicator_test.go
@@ -22,13 +22,14 @@
 
 // group is several nodes in one process with real data folders.
 type group struct {
-	folder string
-	mu     sync.Mutex
-	nodes  map[netip.AddrPort]*replicator.Replicator
-	cut    map[netip.AddrPort]bool
-	stops  []func()
-	last   []uint64 // index last applied, by node
-	from   []uint64 // index of the state snapshot restored, by node
+	folder  string
+	mu      sync.Mutex
+	nodes   map[netip.AddrPort]*replicator.Replicator
+	cut     map[netip.AddrPort]bool
+	stops   []func()
+	last    []uint64 // index last applied, by node
+	from    []uint64 // index of the state snapshot restored, by node
+	ballast []byte   // rest of each saved state
 }
 
 func (g *group) send(from, to netip.AddrPort, p wire.Packet) {
@@ -48,8 +49,13 @@
 }
 
 func start(tb testing.TB, count int) *group {
+	return startWith(tb, count, nil)
+}
+
+func startWith(tb testing.TB, count int, ballast []byte) *group {
 	g := &group{
-		folder: tb.TempDir(), nodes: map[netip.AddrPort]*replicator.Replicator{}, cut: map[netip.AddrPort]bool{},
+		ballast: ballast,
+		folder:  tb.TempDir(), nodes: map[netip.AddrPort]*replicator.Replicator{}, cut: map[netip.AddrPort]bool{},
 		last: make([]uint64, count), from: make([]uint64, count),
 	}
 	_, err := storer.Init(g.path(0), wire.Node{Name: "node-0", Addr: addr(0)})
@@ -77,7 +83,9 @@
 			g.last[i] = index
 			return wire.Result{Version: index}
 		}),
-		replicator.WithSave(func() ([]byte, error) { return binary.LittleEndian.AppendUint64(nil, g.last[i]), nil }),
+		replicator.WithSave(func() ([]byte, error) {
+			return append(binary.LittleEndian.AppendUint64(nil, g.last[i]), g.ballast...), nil
+		}),
 		replicator.WithRestore(func(state []byte) error {
 			g.last[i] = binary.LittleEndian.Uint64(state)
 			g.from[i] = g.last[i]
@@ -191,9 +199,10 @@
 
 // BenchmarkPropose measures proposals per second with real syncs.
 func BenchmarkPropose(b *testing.B) {
-	for _, count := range []int{1, 3} {
-		b.Run(fmt.Sprintf("voters=%d", count), func(b *testing.B) {
-			g := start(b, count)
+	for _, c := range []struct{ count, state int }{{1, 0}, {3, 0}, {3, 64 << 20}} {
+		count := c.count
+		b.Run(fmt.Sprintf("voters=%d/state=%dMiB", count, c.state>>20), func(b *testing.B) {
+			g := startWith(b, count, make([]byte, c.state))
 			defer g.stop()
 			g.waitVoters(count)
 			cmd := wire.Command{Claim: &wire.Claim{Service: "payout", Key: "0190b5a4-5b0e-7c1d-8a2f-3b4c5d6e7f80", Attempt: "a"}}
--- a/controller/storer/storer.go
+++ b/controller/storer/storer.go
@@ -102,6 +102,11 @@
 	return s.state
 }
 
+// LogSize returns the size of the log in bytes.
+func (s *Storer) LogSize() int64 {
+	return s.size
+}
+
 // Cut returns how many bytes of a torn last record were cut off when the folder was opened.
 func (s *Storer) Cut() int64 {
 	return s.cut
