Share the JSON forms of the API and the durable replacement of files

Cause: bluebellctl and the administrator declared the same JSON types, and the storer and the subscriber replaced files each in its own way. Change: core/presenter and core/saver.

--- a/bluebellctl/batch.go
+++ b/bluebellctl/batch.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
+
+	"bluebellhoist/core/presenter"
 )
 
 func (p *program) batch() *ff.Command {
@@ -26,11 +28,11 @@
 			if err != nil {
 				return err
 			}
-			found, _, err := gather[batch](ctx, c, "/v1/batches/"+url.PathEscape(name))
+			found, _, err := gather[presenter.Batch](ctx, c, "/v1/batches/"+url.PathEscape(name))
 			if err != nil {
 				return fmt.Errorf("batch %q: %w", name, err)
 			}
-			text, err := format(newest([][]batch{found})[0])
+			text, err := format(newest([][]presenter.Batch{found})[0])
 			if err != nil {
 				return err
 			}
@@ -41,7 +43,7 @@
 }
 
 // format returns the operators' text of b. Its base is the version of b.
-func format(b batch) ([]byte, error) {
+func format(b presenter.Batch) ([]byte, error) {
 	type textService struct {
 		Needs []string `json:"needs"`
 		Class string   `json:"class"`
--- a/bluebellctl/batches.go
+++ b/bluebellctl/batches.go
@@ -9,24 +9,9 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
-)
-
-// batch is one batch as controllers report it.
-type batch struct {
-	Name     string    `json:"name"`
-	Version  uint64    `json:"version"`
-	Until    time.Time `json:"until"`
-	Lapsed   bool      `json:"lapsed"`
-	Services []service `json:"services"`
-}
 
-type service struct {
-	Name  string   `json:"name"`
-	Needs []string `json:"needs"`
-	Class string   `json:"class"`
-	Once  bool     `json:"once"`
-	Limit string   `json:"limit"`
-}
+	"bluebellhoist/core/presenter"
+)
 
 func (p *program) batches() *ff.Command {
 	return &ff.Command{
@@ -39,7 +24,7 @@
 			if err != nil {
 				return err
 			}
-			lists, _, err := gather[[]batch](ctx, c, "/v1/batches")
+			lists, _, err := gather[[]presenter.Batch](ctx, c, "/v1/batches")
 			if err != nil {
 				return err
 			}
@@ -54,8 +39,8 @@
 }
 
 // newest merges lists by name and keeps the highest version, since a cut-off controller reports old ones.
-func newest(lists [][]batch) []batch {
-	byName := map[string]batch{}
+func newest(lists [][]presenter.Batch) []presenter.Batch {
+	byName := map[string]presenter.Batch{}
 	for _, list := range lists {
 		for _, b := range list {
 			if old, ok := byName[b.Name]; !ok || b.Version > old.Version {
@@ -63,10 +48,10 @@
 			}
 		}
 	}
-	merged := make([]batch, 0, len(byName))
+	merged := make([]presenter.Batch, 0, len(byName))
 	for _, b := range byName {
 		merged = append(merged, b)
 	}
-	slices.SortFunc(merged, func(a, b batch) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(merged, func(a, b presenter.Batch) int { return cmp.Compare(a.Name, b.Name) })
 	return merged
 }
--- a/bluebellctl/client.go
+++ b/bluebellctl/client.go
@@ -12,6 +12,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"bluebellhoist/core/presenter"
 )
 
 // maxAnswer is the largest answer of a controller that is read.
@@ -38,13 +40,6 @@
 	err    error
 }
 
-// failure is the body of an answer that reports an error.
-type failure struct {
-	Error   string `json:"error"`
-	Code    string `json:"code"`
-	Version uint64 `json:"version"`
-}
-
 // do sends one request to one controller.
 func (c *client) do(ctx context.Context, to netip.AddrPort, method, path string, body []byte) answer {
 	ctx, cancel := context.WithTimeout(ctx, c.attempt)
@@ -100,8 +95,8 @@
 	return nil
 }
 
-func (a answer) failure() failure {
-	var f failure
+func (a answer) failure() presenter.Problem {
+	var f presenter.Problem
 	if err := json.Unmarshal(a.body, &f); err != nil {
 		f.Error = string(bytes.TrimSpace(a.body))
 	}
--- a/bluebellctl/main_test.go
+++ b/bluebellctl/main_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/presenter"
 )
 
 const goodText = `{"batches": {"counter": {"base": 0, "until": "2999-01-01T00:00:00Z", "services": {"stock": {}}}}}`
@@ -155,26 +156,26 @@
 // TestReached guards against a wait that ends early because a controller is stale or a daemon is listed twice,
 // and against one that never ends because a change did not touch a daemon's batch.
 func TestReached(t *testing.T) {
-	list := []batch{{Name: "a", Version: 8}, {Name: "b", Version: 4}}
+	list := []presenter.Batch{{Name: "a", Version: 8}, {Name: "b", Version: 4}}
 	for _, tt := range []struct {
 		name    string
 		version uint64 // of the second controller; the first is stale at version 5
-		daemons []daemon
+		daemons []presenter.Daemon
 		least   int
 		want    error
 	}{
-		{"all hold it", 8, []daemon{{Name: "x", Batch: "a", Held: 8}}, 1, nil},
-		{"untouched batch", 8, []daemon{{Name: "x", Batch: "b", Held: 4}}, 1, nil},
-		{"untouched batch, behind", 8, []daemon{{Name: "x", Batch: "b", Held: 3}}, 1, errLate},
-		{"behind", 8, []daemon{{Name: "x", Batch: "a", Held: 7}}, 1, errLate},
-		{"controllers behind", 7, []daemon{{Name: "x", Batch: "a", Held: 8}}, 1, errLate},
+		{"all hold it", 8, []presenter.Daemon{{Name: "x", Batch: "a", Held: 8}}, 1, nil},
+		{"untouched batch", 8, []presenter.Daemon{{Name: "x", Batch: "b", Held: 4}}, 1, nil},
+		{"untouched batch, behind", 8, []presenter.Daemon{{Name: "x", Batch: "b", Held: 3}}, 1, errLate},
+		{"behind", 8, []presenter.Daemon{{Name: "x", Batch: "a", Held: 7}}, 1, errLate},
+		{"controllers behind", 7, []presenter.Daemon{{Name: "x", Batch: "a", Held: 8}}, 1, errLate},
 		{"daemon known to the stale controller only", 8, nil, 1, errLate},
-		{"too few", 8, []daemon{{Name: "x", Batch: "a", Held: 8}}, 2, errLate},
+		{"too few", 8, []presenter.Daemon{{Name: "x", Batch: "a", Held: 8}}, 2, errLate},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			stale := serve(t, status{Version: 5, Daemons: []daemon{{Name: "x", Batch: "a", Held: 1}}}, []batch{{Name: "a", Version: 1}})
-			fresh := serve(t, status{Version: tt.version, Daemons: tt.daemons}, list)
+			stale := serve(t, presenter.Status{Version: 5, Daemons: []presenter.Daemon{{Name: "x", Batch: "a", Held: 1}}}, []presenter.Batch{{Name: "a", Version: 1}})
+			fresh := serve(t, presenter.Status{Version: tt.version, Daemons: tt.daemons}, list)
 			_, err := newClient([]netip.AddrPort{stale, fresh}, time.Minute).reached(t.Context(), 8, tt.least)
 			is.True(errors.Is(err, tt.want))
 		})
@@ -182,7 +183,7 @@
 }
 
 // serve starts a fake controller with the given status and batches.
-func serve(t *testing.T, s status, list []batch) netip.AddrPort {
+func serve(t *testing.T, s presenter.Status, list []presenter.Batch) netip.AddrPort {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/v1/status" {
--- a/bluebellctl/status.go
+++ b/bluebellctl/status.go
@@ -10,41 +10,16 @@
 	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v4"
-)
-
-// status is what one controller reports.
-type status struct {
-	Name    string   `json:"name"`
-	Role    string   `json:"role"`
-	Leader  string   `json:"leader"`
-	Term    uint64   `json:"term"`
-	Commit  uint64   `json:"commit"`
-	Applied uint64   `json:"applied"`
-	Version uint64   `json:"version"`
-	Fresh   bool     `json:"fresh"`
-	Nodes   []node   `json:"nodes,omitempty"`
-	Daemons []daemon `json:"daemons,omitempty"`
-}
 
-type node struct {
-	Name  string `json:"name"`
-	Addr  string `json:"addr"`
-	Voter bool   `json:"voter"`
-}
-
-type daemon struct {
-	Name   string `json:"name"`
-	Domain string `json:"domain"`
-	Batch  string `json:"batch"`
-	Held   uint64 `json:"held"`
-}
+	"bluebellhoist/core/presenter"
+)
 
 // overview merges the reports of all controllers that answered.
 type overview struct {
-	Controllers []status `json:"controllers"`
-	Nodes       []node   `json:"nodes"`
-	Daemons     []daemon `json:"daemons"`
-	Silent      []string `json:"silent"`
+	Controllers []presenter.Status `json:"controllers"`
+	Nodes       []presenter.Node   `json:"nodes"`
+	Daemons     []presenter.Daemon `json:"daemons"`
+	Silent      []string           `json:"silent"`
 }
 
 func (p *program) status() *ff.Command {
@@ -75,7 +50,7 @@
 }
 
 func (c *client) overview(ctx context.Context) (overview, error) {
-	reports, failed, err := gather[status](ctx, c, "/v1/status")
+	reports, failed, err := gather[presenter.Status](ctx, c, "/v1/status")
 	if err != nil {
 		return overview{}, err
 	}
@@ -88,9 +63,9 @@
 
 // merge takes the membership from the controller that applied most, and each daemon from the report with its highest
 // version: a daemon that moved may still be listed by its former controller.
-func merge(reports []status) overview {
-	o := overview{Controllers: []status{}, Nodes: []node{}, Daemons: []daemon{}, Silent: []string{}}
-	daemons := map[string]daemon{}
+func merge(reports []presenter.Status) overview {
+	o := overview{Controllers: []presenter.Status{}, Nodes: []presenter.Node{}, Daemons: []presenter.Daemon{}, Silent: []string{}}
+	daemons := map[string]presenter.Daemon{}
 	var applied uint64
 	for _, r := range reports {
 		if r.Applied >= applied {
@@ -107,8 +82,8 @@
 	for _, d := range daemons {
 		o.Daemons = append(o.Daemons, d)
 	}
-	slices.SortFunc(o.Daemons, func(a, b daemon) int { return cmp.Compare(a.Name, b.Name) })
-	slices.SortFunc(o.Controllers, func(a, b status) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(o.Daemons, func(a, b presenter.Daemon) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(o.Controllers, func(a, b presenter.Status) int { return cmp.Compare(a.Name, b.Name) })
 	return o
 }
 
--- a/bluebellctl/wait.go
+++ b/bluebellctl/wait.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
+
+	"bluebellhoist/core/presenter"
 )
 
 // poll is the time between two looks at the daemons.
@@ -78,7 +80,7 @@
 		return o.Silent, fmt.Errorf("%w: %d of %d daemons are reported", errLate, len(o.Daemons), least)
 	}
 	behind := 0
-	var first daemon
+	var first presenter.Daemon
 	for _, d := range o.Daemons {
 		if d.Held < needed[d.Batch] {
 			if behind == 0 {
@@ -99,11 +101,11 @@
 // Only controllers that have reached the version are asked, because others list older batches.
 func (c *client) needed(ctx context.Context, version uint64) (map[string]uint64, error) {
 	for _, to := range c.controllers {
-		var s status
+		var s presenter.Status
 		if err := c.do(ctx, to, http.MethodGet, "/v1/status", nil).decode(&s); err != nil || s.Version < version {
 			continue
 		}
-		var list []batch
+		var list []presenter.Batch
 		if err := c.do(ctx, to, http.MethodGet, "/v1/batches", nil).decode(&list); err != nil {
 			continue
 		}
--- a/controller/administrator/administrator.go
+++ b/controller/administrator/administrator.go
@@ -9,54 +9,20 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 
-	"bluebellhoist/controller/distributor"
 	"bluebellhoist/controller/registrar"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
-// Codes of an error answer, besides those of the registrar.
-const (
-	CodeUnavailable = "unavailable" // nothing was accepted
-	CodeUnknown     = "unknown"     // the change may or may not be accepted; send it again with the same id
-)
-
 // ErrUnavailable reports that a command was certainly not accepted.
 var ErrUnavailable = errors.New("no majority of controllers")
 
-// Node is one controller of the membership.
-type Node struct {
-	Name  string `json:"name"`
-	Addr  string `json:"addr"`
-	Voter bool   `json:"voter"`
-}
-
-// Status is the state of one controller.
-type Status struct {
-	Name    string               `json:"name"`
-	Role    string               `json:"role"`
-	Leader  string               `json:"leader"`
-	Term    uint64               `json:"term"`
-	Commit  uint64               `json:"commit"`
-	Applied uint64               `json:"applied"`
-	Version uint64               `json:"version"`
-	Fresh   bool                 `json:"fresh"`
-	Nodes   []Node               `json:"nodes"`
-	Daemons []distributor.Daemon `json:"daemons"`
-}
-
-// Problem is the body of an error answer.
-type Problem struct {
-	Error   string `json:"error"`
-	Code    string `json:"code"`
-	Version uint64 `json:"version,omitempty"`
-}
-
 // Administrator answers operators.
 type Administrator struct {
 	propose func(context.Context, wire.Command) (wire.Result, error)
 	barrier func(context.Context) error
 	view    func() *registrar.View
-	status  func() Status
+	status  func() presenter.Status
 	log     hclog.Logger
 }
 
@@ -80,7 +46,7 @@
 }
 
 // WithStatus sets the source of the controller's state.
-func WithStatus(status func() Status) Option {
+func WithStatus(status func() presenter.Status) Option {
 	return func(a *Administrator) { a.status = status }
 }
 
@@ -107,9 +73,9 @@
 }
 
 func problem(c echo.Context, status int, code, text string) error {
-	return c.JSON(status, Problem{Error: text, Code: code})
+	return c.JSON(status, presenter.Problem{Error: text, Code: code})
 }
 
 func unavailable(c echo.Context, err error) error {
-	return problem(c, http.StatusServiceUnavailable, CodeUnavailable, err.Error())
+	return problem(c, http.StatusServiceUnavailable, presenter.CodeUnavailable, err.Error())
 }
--- a/controller/administrator/commands.go
+++ b/controller/administrator/commands.go
@@ -10,32 +10,27 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
-	"bluebellhoist/controller/registrar"
 	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
 // changeTimeout bounds the time until a change is accepted by a majority.
 const changeTimeout = 10 * time.Second
 
-// accepted is the answer to an accepted change.
-type accepted struct {
-	Version uint64 `json:"version"`
-}
-
 // postChange applies the operators' text in the body under the id in the query.
 func (a *Administrator) postChange(c echo.Context) error {
 	id, err := uuid.Parse(c.QueryParam("id"))
 	if err != nil {
-		return problem(c, http.StatusBadRequest, registrar.CodeInvalid, "query parameter id must be a UUID")
+		return problem(c, http.StatusBadRequest, presenter.CodeInvalid, "query parameter id must be a UUID")
 	}
 	text, err := io.ReadAll(io.LimitReader(c.Request().Body, compiler.MaxText+1))
 	if err != nil {
-		return problem(c, http.StatusBadRequest, registrar.CodeInvalid, "body not received: "+err.Error())
+		return problem(c, http.StatusBadRequest, presenter.CodeInvalid, "body not received: "+err.Error())
 	}
 	edits, err := compiler.Parse(text, time.Now())
 	if err != nil {
-		return problem(c, http.StatusBadRequest, registrar.CodeInvalid, err.Error())
+		return problem(c, http.StatusBadRequest, presenter.CodeInvalid, err.Error())
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), changeTimeout)
 	defer cancel()
@@ -44,7 +39,7 @@
 		return unavailable(c, err)
 	}
 	if err != nil {
-		return problem(c, http.StatusGatewayTimeout, CodeUnknown, "outcome unknown, send again with the same id: "+err.Error())
+		return problem(c, http.StatusGatewayTimeout, presenter.CodeUnknown, "outcome unknown, send again with the same id: "+err.Error())
 	}
 	a.log.Info("change", "id", id, "version", result.Version, "code", result.Code)
 	return answerChange(c, result)
@@ -53,12 +48,12 @@
 func answerChange(c echo.Context, result wire.Result) error {
 	statuses := map[string]int{
 		"":                     http.StatusOK,
-		registrar.CodeConflict: http.StatusConflict,
-		registrar.CodeMissing:  http.StatusNotFound,
-		registrar.CodeInvalid:  http.StatusBadRequest,
+		presenter.CodeConflict: http.StatusConflict,
+		presenter.CodeMissing:  http.StatusNotFound,
+		presenter.CodeInvalid:  http.StatusBadRequest,
 	}
 	if result.Code == "" {
-		return c.JSON(http.StatusOK, accepted{Version: result.Version})
+		return c.JSON(http.StatusOK, presenter.Accepted{Version: result.Version})
 	}
-	return c.JSON(statuses[result.Code], Problem{Error: result.Error, Code: result.Code, Version: result.Version})
+	return c.JSON(statuses[result.Code], presenter.Problem{Error: result.Error, Code: result.Code, Version: result.Version})
 }
--- a/controller/administrator/queries.go
+++ b/controller/administrator/queries.go
@@ -9,30 +9,13 @@
 	"github.com/labstack/echo/v4"
 
 	"bluebellhoist/controller/registrar"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
 // queryTimeout bounds the time of a linearizable read.
 const queryTimeout = 5 * time.Second
 
-// Batch is the JSON form of a batch.
-type Batch struct {
-	Name     string    `json:"name"`
-	Version  uint64    `json:"version"`
-	Until    time.Time `json:"until"`
-	Lapsed   bool      `json:"lapsed"`
-	Services []Service `json:"services"`
-}
-
-// Service is the JSON form of a service.
-type Service struct {
-	Name  string   `json:"name"`
-	Needs []string `json:"needs"`
-	Class string   `json:"class"`
-	Once  bool     `json:"once"`
-	Limit string   `json:"limit"`
-}
-
 // read returns a view that holds every change accepted before the query, or with
 // the query parameter local=true the view of this controller as it is.
 func (a *Administrator) read(c echo.Context) (*registrar.View, error) {
@@ -52,7 +35,7 @@
 	if err != nil {
 		return unavailable(c, err)
 	}
-	all := []Batch{}
+	all := []presenter.Batch{}
 	for _, b := range view.Batches() {
 		all = append(all, batchOf(b))
 	}
@@ -67,7 +50,7 @@
 	name := c.Param("name")
 	b, ok := view.Batch(name)
 	if !ok {
-		return problem(c, http.StatusNotFound, registrar.CodeMissing, fmt.Sprintf("batch %q does not exist", name))
+		return problem(c, http.StatusNotFound, presenter.CodeMissing, fmt.Sprintf("batch %q does not exist", name))
 	}
 	return c.JSON(http.StatusOK, batchOf(b))
 }
@@ -76,20 +59,20 @@
 	return c.JSON(http.StatusOK, a.status())
 }
 
-func batchOf(b wire.Batch) Batch {
-	out := Batch{
+func batchOf(b wire.Batch) presenter.Batch {
+	out := presenter.Batch{
 		Name:     b.Name,
 		Version:  b.Version,
 		Until:    time.UnixMilli(b.Until).UTC(),
 		Lapsed:   b.Lapsed,
-		Services: make([]Service, 0, len(b.Services)),
+		Services: make([]presenter.Service, 0, len(b.Services)),
 	}
 	for _, s := range b.Services {
 		needs := s.Needs
 		if needs == nil {
 			needs = []string{}
 		}
-		out.Services = append(out.Services, Service{Name: s.Name, Needs: needs, Class: s.Class, Once: s.Once, Limit: s.Limit.String()})
+		out.Services = append(out.Services, presenter.Service{Name: s.Name, Needs: needs, Class: s.Class, Once: s.Once, Limit: s.Limit.String()})
 	}
 	return out
 }
--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellhoist/controller/registrar"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
@@ -36,14 +37,6 @@
 // ErrSession reports a session that ended because of the daemon or the network.
 var ErrSession = errors.New("session failed")
 
-// Daemon is one connected daemon.
-type Daemon struct {
-	Name   string `json:"name"`
-	Domain string `json:"domain"`
-	Batch  string `json:"batch"`
-	Held   uint64 `json:"held"`
-}
-
 // Distributor serves daemon sessions.
 type Distributor struct {
 	propose func(context.Context, wire.Command) (wire.Result, error)
@@ -140,16 +133,16 @@
 }
 
 // Daemons returns the connected daemons in order of name.
-func (d *Distributor) Daemons() []Daemon {
+func (d *Distributor) Daemons() []presenter.Daemon {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	all := make([]Daemon, 0, len(d.sessions))
+	all := make([]presenter.Daemon, 0, len(d.sessions))
 	for s := range d.sessions {
 		if hello := s.hello.Load(); hello != nil {
-			all = append(all, Daemon{Name: hello.Name, Domain: hello.Domain, Batch: hello.Batch, Held: s.held.Load()})
+			all = append(all, presenter.Daemon{Name: hello.Name, Domain: hello.Domain, Batch: hello.Batch, Held: s.held.Load()})
 		}
 	}
-	slices.SortFunc(all, func(a, b Daemon) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(all, func(a, b presenter.Daemon) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
--- a/controller/distributor/distributor_test.go
+++ b/controller/distributor/distributor_test.go
@@ -15,6 +15,7 @@
 	"bluebellhoist/controller/registrar"
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
@@ -206,5 +207,5 @@
 	d.send(wire.Frame{Ack: &wire.Ack{Version: version}})
 	d.send(wire.Frame{ID: 1, Claim: &wire.Claim{}}) // its answer shows that the ack was handled
 	d.next()
-	is.New(t).Equal(f.dist.Daemons(), []distributor.Daemon{{Name: "d1", Domain: "buk", Batch: "counter", Held: 1}})
+	is.New(t).Equal(f.dist.Daemons(), []presenter.Daemon{{Name: "d1", Domain: "buk", Batch: "counter", Held: 1}})
 }
--- a/controller/history_test.go
+++ b/controller/history_test.go
@@ -22,6 +22,7 @@
 
 	"bluebellhoist/controller/administrator"
 	"bluebellhoist/controller/registrar"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
@@ -78,11 +79,11 @@
 			return []any{s}
 		case in.read:
 			return nil
-		case out.code == administrator.CodeUnknown && in.base == s.version:
+		case out.code == presenter.CodeUnknown && in.base == s.version:
 			return []any{s, next}
-		case out.code == administrator.CodeUnknown:
+		case out.code == presenter.CodeUnknown:
 			return []any{s}
-		case out.code == registrar.CodeConflict && in.base != s.version && out.version == s.version:
+		case out.code == presenter.CodeConflict && in.base != s.version && out.version == s.version:
 			return []any{s}
 		case out.code == "" && in.base == s.version && out.version == next.version:
 			return []any{next}
@@ -106,7 +107,7 @@
 		in := changeInput{base: seen.version, content: fmt.Sprintf("s-%d-%d", client, n)}
 		call = time.Now()
 		out := c.apply(ctx, random, in)
-		h.record(client, in, out, call, out.code != administrator.CodeUnknown)
+		h.record(client, in, out, call, out.code != presenter.CodeUnknown)
 	}
 }
 
@@ -116,22 +117,22 @@
 	text := fmt.Sprintf(`{"batches": {"b": {"base": %d, "until": "2100-01-01T00:00:00Z", "services": {%q: {}}}}}`, in.base, in.content)
 	for range 3 {
 		response := c.request(ctx, random, http.MethodPost, "/v1/changes?id="+id.String(), text)
-		var body administrator.Problem
+		var body presenter.Problem
 		_ = json.Unmarshal(response.Body.Bytes(), &body)
 		if response.Code == http.StatusOK || response.Code == http.StatusConflict {
 			return changeOutput{code: body.Code, version: body.Version}
 		}
 		time.Sleep(time.Second)
 	}
-	return changeOutput{code: administrator.CodeUnknown}
+	return changeOutput{code: presenter.CodeUnknown}
 }
 
 func (c *cluster) readBatch(ctx context.Context, random *rand.Rand) (changeOutput, bool) {
 	response := c.request(ctx, random, http.MethodGet, "/v1/batches/b", "")
-	if response.Code == http.StatusNotFound && strings.Contains(response.Body.String(), registrar.CodeMissing) {
+	if response.Code == http.StatusNotFound && strings.Contains(response.Body.String(), presenter.CodeMissing) {
 		return changeOutput{}, true
 	}
-	var batch administrator.Batch
+	var batch presenter.Batch
 	if response.Code != http.StatusOK || json.Unmarshal(response.Body.Bytes(), &batch) != nil {
 		return changeOutput{}, false
 	}
--- a/controller/registrar/change.go
+++ b/controller/registrar/change.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
@@ -59,11 +60,11 @@
 
 func (r *Registrar) checkEdit(e wire.Edit, old wire.Batch, exists bool) wire.Result {
 	if e.Drop && (!exists || len(old.Services) == 0 && old.Lapsed) {
-		return wire.Result{Code: CodeMissing, Error: fmt.Sprintf("batch %q does not exist", e.Name)}
+		return wire.Result{Code: presenter.CodeMissing, Error: fmt.Sprintf("batch %q does not exist", e.Name)}
 	}
 	if e.Base != old.Version {
 		return wire.Result{
-			Code:    CodeConflict,
+			Code:    presenter.CodeConflict,
 			Version: old.Version,
 			Error:   fmt.Sprintf("batch %q is at version %d, the change is based on %d", e.Name, old.Version, e.Base),
 		}
@@ -179,5 +180,5 @@
 }
 
 func invalid(err error) wire.Result {
-	return wire.Result{Code: CodeInvalid, Error: err.Error()}
+	return wire.Result{Code: presenter.CodeInvalid, Error: err.Error()}
 }
--- a/controller/registrar/registrar.go
+++ b/controller/registrar/registrar.go
@@ -8,16 +8,10 @@
 	"time"
 
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
-// Codes of a result.
-const (
-	CodeConflict = "conflict" // the batch is at another version than the change's base
-	CodeInvalid  = "invalid"  // the change fails a check
-	CodeMissing  = "missing"  // the change drops a batch that does not exist
-)
-
 // ErrState reports a saved state that cannot be restored.
 var ErrState = errors.New("invalid saved state")
 
@@ -59,7 +53,7 @@
 	case cmd.Finish != nil:
 		return verdict(r.grants.finish(*cmd.Finish))
 	}
-	return wire.Result{Code: CodeInvalid, Error: "empty command"}
+	return wire.Result{Code: presenter.CodeInvalid, Error: "empty command"}
 }
 
 // Save returns the encoded state.
--- a/controller/registrar/registrar_test.go
+++ b/controller/registrar/registrar_test.go
@@ -16,6 +16,7 @@
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/keyer"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
@@ -54,16 +55,16 @@
 	}{
 		{"first", change("1", edit("a", 0, "x", "y")), "", 1},
 		{"repeat after a lost answer", change("1", edit("a", 0, "x", "y")), "", 1},
-		{"id with another text", change("1", edit("a", 0, "x")), registrar.CodeInvalid, 0},
-		{"race on an equal version", change("2", edit("a", 0, "z")), registrar.CodeConflict, 1},
+		{"id with another text", change("1", edit("a", 0, "x")), presenter.CodeInvalid, 0},
+		{"race on an equal version", change("2", edit("a", 0, "z")), presenter.CodeConflict, 1},
 		{"second batch", change("3", edit("b", 0, "x")), "", 2},
-		{"one edit of two is based on an old version", change("4", edit("a", 1, "x"), edit("b", 1, "x")), registrar.CodeConflict, 2},
+		{"one edit of two is based on an old version", change("4", edit("a", 1, "x"), edit("b", 1, "x")), presenter.CodeConflict, 2},
 		{"conflicting change sent again with the right base", change("4", edit("a", 1, "x"), edit("b", 2, "x")), "", 3},
-		{"drop of a missing batch", change("5", wire.Edit{Name: "c", Drop: true}), registrar.CodeMissing, 0},
+		{"drop of a missing batch", change("5", wire.Edit{Name: "c", Drop: true}), presenter.CodeMissing, 0},
 		{"drop", change("6", wire.Edit{Name: "b", Base: 3, Drop: true}), "", 4},
-		{"drop again", change("7", wire.Edit{Name: "b", Base: 4, Drop: true}), registrar.CodeMissing, 0},
-		{"batch twice", change("8", edit("a", 3, "x"), edit("a", 3, "y")), registrar.CodeConflict, 5},
-		{"unsorted services", change("9", edit("a", 3, "y", "x")), registrar.CodeInvalid, 0},
+		{"drop again", change("7", wire.Edit{Name: "b", Base: 4, Drop: true}), presenter.CodeMissing, 0},
+		{"batch twice", change("8", edit("a", 3, "x"), edit("a", 3, "y")), presenter.CodeConflict, 5},
+		{"unsorted services", change("9", edit("a", 3, "y", "x")), presenter.CodeInvalid, 0},
 	}
 	r := registrar.New()
 	for _, step := range steps {
@@ -85,7 +86,7 @@
 	assertResult(t, r.Apply(change("1", edit("a", 0, "x"))), "", 1)
 	other := edit("b", 0, "x")
 	other.Services[0].Once = true
-	assertResult(t, r.Apply(change("2", other)), registrar.CodeInvalid, 0)
+	assertResult(t, r.Apply(change("2", other)), presenter.CodeInvalid, 0)
 }
 
 // TestExpire guards against routes that stay after their contract has ended, and against renewals that get lost.
@@ -101,7 +102,7 @@
 	is.True(batch.Lapsed)
 	is.Equal(len(batch.Services), 0)
 	late := r.Apply(change("2", edit("a", 2, "x")))
-	assertResult(t, late, registrar.CodeInvalid, 0) // the clock of the log does not go back
+	assertResult(t, late, presenter.CodeInvalid, 0) // the clock of the log does not go back
 }
 
 // TestSinceMatchesFull guards against a proxy that catches up from any held version and ends in another state than a fresh one.
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -23,6 +23,7 @@
 	"bluebellhoist/controller/registrar"
 	"bluebellhoist/controller/replicator"
 	"bluebellhoist/controller/storer"
+	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
@@ -192,9 +193,9 @@
 	return time.Since(c.replicator.Status().Fresh) < freshLimit
 }
 
-func (c *controller) status() administrator.Status {
+func (c *controller) status() presenter.Status {
 	s := c.replicator.Status()
-	status := administrator.Status{
+	status := presenter.Status{
 		Name:    c.settings.Name,
 		Role:    s.Role,
 		Leader:  s.Leader.Name,
@@ -203,11 +204,11 @@
 		Applied: s.Applied,
 		Version: c.registrar.View().Version(),
 		Fresh:   c.fresh(),
-		Nodes:   []administrator.Node{},
+		Nodes:   []presenter.Node{},
 		Daemons: c.distributor.Daemons(),
 	}
 	for _, n := range s.Nodes {
-		status.Nodes = append(status.Nodes, administrator.Node{Name: n.Name, Addr: n.Addr.String(), Voter: n.Voter})
+		status.Nodes = append(status.Nodes, presenter.Node{Name: n.Name, Addr: n.Addr.String(), Voter: n.Voter})
 	}
 	return status
 }
--- a/controller/storer/folder.go
+++ b/controller/storer/folder.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 	"syscall"
+
+	"bluebellhoist/core/saver"
 )
 
 // lock opens the folder for this process only. The kernel drops the lock when the process ends.
@@ -35,41 +37,13 @@
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return err
 	}
-	return syncFolder(filepath.Dir(filepath.Clean(folder)))
+	return saver.SyncFolder(filepath.Dir(filepath.Clean(folder)))
 }
 
 // replace writes a file atomically: after a crash it holds either the old or the new contents.
 func (s *Storer) replace(name string, data []byte) error {
-	path := filepath.Join(s.folder, name)
-	temp := path + ".tmp"
-	if err := writeSynced(temp, data); err != nil {
-		return fmt.Errorf("%w: %v", ErrIO, err)
-	}
-	if err := os.Rename(temp, path); err != nil {
-		return fmt.Errorf("%w: %v", ErrIO, err)
-	}
-	if err := syncFolder(s.folder); err != nil {
+	if err := saver.Replace(s.folder, name, data); err != nil {
 		return fmt.Errorf("%w: %v", ErrIO, err)
 	}
 	return nil
 }
-
-func writeSynced(path string, data []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	return errors.Join(err, f.Close())
-}
-
-func syncFolder(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(f.Sync(), f.Close())
-}
--- /dev/null
+++ b/core/saver/saver_test.go
@@ -0,0 +1,26 @@
+package saver_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/core/saver"
+)
+
+// TestReplace guards against leftovers of a crash that block the next save, and against errors that go unnoticed.
+func TestReplace(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	is.NoErr(os.WriteFile(filepath.Join(folder, "a.tmp"), []byte("torn and longer than the rest"), 0o600))
+	for _, content := range []string{"first", "second"} {
+		is.NoErr(saver.Replace(folder, "a", []byte(content)))
+		data, err := os.ReadFile(filepath.Join(folder, "a"))
+		is.NoErr(err)
+		is.Equal(string(data), content)
+	}
+	is.True(errors.Is(saver.Replace(filepath.Join(folder, "missing"), "a", nil), saver.ErrIO))
+}
--- a/daemon/subscriber/store.go
+++ b/daemon/subscriber/store.go
@@ -9,6 +9,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/saver"
 	"bluebellhoist/core/wire"
 )
 
@@ -51,43 +52,8 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrStore, err)
 	}
-	path := filepath.Join(s.folder, storeFile)
-	if err := writeSynced(path+".new", data); err != nil {
-		return fmt.Errorf("%w: %v", ErrStore, err)
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return fmt.Errorf("%w: %v", ErrStore, err)
-	}
-	if err := syncFolder(s.folder); err != nil {
+	if err := saver.Replace(s.folder, storeFile, data); err != nil {
 		return fmt.Errorf("%w: %v", ErrStore, err)
 	}
 	return nil
 }
-
-func writeSynced(path string, data []byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	if _, err := file.Write(data); err != nil {
-		_ = file.Close()
-		return err
-	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return err
-	}
-	return file.Close()
-}
-
-func syncFolder(folder string) error {
-	dir, err := os.Open(folder)
-	if err != nil {
-		return err
-	}
-	if err := dir.Sync(); err != nil {
-		_ = dir.Close()
-		return err
-	}
-	return dir.Close()
-}
