Make failure tests sensitive to each rule and spread exchanges in time

Cause: trials that removed one rule each showed tests that passed without it: retries of dead members (seeds healed the partition), the stall check, correction of a sender's stale entry (exchanges did it), refusal of unknown dead members, and the immediate push. Members started together exchanged at the same moment for good. Ruled out: removing the members' own pings of suspects.

--- a/daemon/gossiper/network_test.go
+++ b/daemon/gossiper/network_test.go
@@ -24,6 +24,8 @@
 	loss float64
 
 	keepDead, keepLeft time.Duration
+	seeds              []netip.AddrPort
+	noExchange         bool // guarded by mu
 
 	mu    sync.Mutex
 	nodes map[netip.AddrPort]*node
@@ -45,6 +47,7 @@
 
 func newNetwork(t *testing.T, seed uint64, loss float64) *network {
 	return &network{t: t, seed: seed, loss: loss, keepDead: 24 * time.Hour, keepLeft: time.Hour,
+		seeds: []netip.AddrPort{address(0), address(1), address(2)},
 		nodes: map[netip.AddrPort]*node{}, cut: func(_, _ *node) bool { return false }}
 }
 
@@ -52,14 +55,14 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7001)
 }
 
-// start runs node i; the first three addresses are the seeds.
+// start runs node i.
 func (n *network) start(i int, inc uint64) *node {
 	x := &node{name: fmt.Sprintf("node-%04d", i), index: i, addr: address(i), ended: make(chan error, 1), frozen: make(chan struct{})}
 	close(x.frozen)
 	r := rand.New(rand.NewPCG(n.seed, uint64(i)))
 	x.Gossiper = gossiper.New(
 		gossiper.WithSelf(wire.Member{Name: x.name, Domain: "suseong", Addr: x.addr, Service: "payout", Slots: 20, Ready: true, Inc: inc}),
-		gossiper.WithSeeds([]netip.AddrPort{address(0), address(1), address(2)}),
+		gossiper.WithSeeds(n.seeds),
 		gossiper.WithRetention(n.keepDead, n.keepLeft),
 		gossiper.WithRand(rand.New(rand.NewPCG(n.seed, uint64(i)+1<<32))),
 		gossiper.WithSend(func(to netip.AddrPort, data []byte) error { return n.send(x, r, to, data) }),
@@ -158,13 +161,25 @@
 	y.waiting.Add(-1)
 }
 
+func (n *network) broken() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.noExchange
+}
+
+func (n *network) breakExchanges() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.noExchange = true
+}
+
 func (n *network) exchange(ctx context.Context, x *node, to netip.AddrPort, msg wire.Gossip) (wire.Gossip, error) {
 	select {
 	case <-time.After(3 * time.Millisecond):
 	case <-ctx.Done():
 	}
 	y := n.route(x, to)
-	if y == nil || ctx.Err() != nil {
+	if y == nil || ctx.Err() != nil || n.broken() {
 		return wire.Gossip{}, errors.New("unreachable")
 	}
 	answer := y.Answer(msg)
--- a/daemon/gossiper/run.go
+++ b/daemon/gossiper/run.go
@@ -74,7 +74,8 @@
 	}
 	if now.Compare(g.nextSync) >= 0 {
 		g.syncWait = min(2*g.syncWait, syncInterval)
-		g.nextSync = now.Add(g.syncWait)
+		// Members that started together would otherwise exchange at the same time for good.
+		g.nextSync = now.Add(g.syncWait/2 + g.jitter(g.syncWait))
 		g.retry()
 		g.startExchange(ctx, g.partner(), exchanges)
 	}
