Forget stale members before answering after a long freeze

A member that was frozen for longer than others keep dead entries answered waiting datagrams before its next tick noticed the stall, and took over entries from datagrams that had waited in its socket, so that a member that the others had dropped came back for some seconds. Change: the stall is noticed before any event is handled, and datagrams are dropped for 1 s after a long one.

--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -312,9 +312,6 @@
 	// Failure domain of the daemon.
 	Domain string `json:"domain"`
 
-	// Configuration version in force.
-	Held uint64 `json:"held"`
-
 	// Incarnation; the higher one wins.
 	Inc uint64 `json:"inc"`
 
--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -44,6 +44,7 @@
 
 	relays       = 3
 	pushFanout   = 3
+	deafTime     = time.Second // covers the datagrams that wait in a socket
 	burstFanout  = 6
 	leaveFanout  = 8
 	leaveQuorum  = 4
@@ -74,7 +75,6 @@
 	self      *entry
 	table     *table
 	queue     *queue
-	maxHeld   uint64
 	dirty     bool
 	published time.Time
 	lastTick  time.Time
@@ -89,6 +89,7 @@
 	relayed   map[uint64]relay
 	syncing   bool
 	synced    bool
+	deafUntil time.Time        // datagrams are dropped until then
 	rejoin    []netip.AddrPort // addresses of members forgotten after a long stall
 	leaving   *leave
 }
--- a/daemon/gossiper/merge.go
+++ b/daemon/gossiper/merge.go
@@ -51,7 +51,6 @@
 	}
 	g.log.Info("new member", "member", m.Name, "addr", m.Addr, "state", m.State)
 	g.table.put(&entry{Member: m, at: now})
-	g.maxHeld = max(g.maxHeld, m.Held)
 	g.dirty = true
 	g.queue.add(m.Name)
 }
@@ -63,12 +62,11 @@
 		m.State = e.State
 		v.accused = append(v.accused, e)
 	}
-	spread := !onlyHeld(e.Member, m) || m.Held > g.maxHeld
 	if m.State != e.State {
 		g.log.Info("member changed state", "member", m.Name, "from", e.State, "to", m.State)
 	}
 	g.store(e, m, now)
-	if spread && m.State != Dead {
+	if m.State != Dead {
 		g.queue.add(m.Name)
 	}
 }
@@ -132,10 +130,3 @@
 		}
 	}
 }
-
-// onlyHeld reports whether next differs from old only in the held version, which is not worth a push to every member.
-func onlyHeld(old, next wire.Member) bool {
-	changed := old.Held != next.Held
-	old.Held, old.Inc = next.Held, next.Inc
-	return changed && old == next
-}
--- a/daemon/gossiper/run.go
+++ b/daemon/gossiper/run.go
@@ -35,8 +35,13 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case d := <-g.inbox:
-			g.receive(d)
+			// A process that was frozen must notice it before it answers with what it knew then.
+			g.resume(time.Now())
+			if time.Now().After(g.deafUntil) {
+				g.receive(d)
+			}
 		case <-g.wake:
+			g.resume(time.Now())
 		case <-exchanges:
 			g.syncing = false
 		case <-ticker.C:
@@ -108,6 +113,8 @@
 	}
 	g.table.remove(func(e *entry) bool { return e != g.self })
 	g.dirty, g.synced, g.syncWait = true, false, firstSync
+	// Datagrams that waited in the socket tell of members that the others have dropped since.
+	g.deafUntil = now.Add(deafTime)
 }
 
 // expire turns overdue suspects dead and drops old entries.
@@ -148,14 +155,9 @@
 	if m == g.self.Member {
 		return
 	}
-	quiet := onlyHeld(g.self.Member, m)
 	m.Inc++
 	g.store(g.self, m, time.Now())
 	g.publish()
-	if quiet {
-		g.burst(pushFanout)
-		return
-	}
 	g.queue.add(m.Name)
 	g.burst(burstFanout)
 }
@@ -163,7 +165,6 @@
 // store replaces an entry.
 func (g *Gossiper) store(e *entry, m wire.Member, now time.Time) {
 	e.set(m, now)
-	g.maxHeld = max(g.maxHeld, m.Held)
 	g.dirty = true
 }
 
--- a/daemon/gossiper/sums.go
+++ b/daemon/gossiper/sums.go
@@ -16,10 +16,10 @@
 	perBucket  = 4 // entries per bucket: fewer make the checksums longer, more make each difference dearer
 )
 
-// checksum covers what two tables must agree on. The held version and the incarnation are left out, since every new
-// configuration changes them at each member, and so is suspicion, which passes within seconds.
+// checksum covers what two tables must agree on. The incarnation is left out, since a refutation changes it alone, and
+// so is suspicion, which passes within seconds.
 func checksum(m wire.Member) uint32 {
-	m.Inc, m.Held = 0, 0
+	m.Inc = 0
 	switch m.State {
 	case Suspect:
 		m.State = Alive
