--- a/controller/replicator/options.go
+++ b/controller/replicator/options.go
@@ -54,7 +54,7 @@
 	return func(r *Replicator) { r.rand = source }
 }
 
-// WithLog sets the log.
-func WithLog(log hclog.Logger) Option {
+// WithLogger sets the log.
+func WithLogger(log hclog.Logger) Option {
 	return func(r *Replicator) { r.log = log }
 }
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -77,7 +77,7 @@
 		replicator.WithApply(func(_ uint64, cmd wire.Command) wire.Result { return c.registrar.Apply(cmd) }),
 		replicator.WithSave(c.registrar.Save),
 		replicator.WithRestore(c.registrar.Restore),
-		replicator.WithLog(log.Named("replicator")),
+		replicator.WithLogger(log.Named("replicator")),
 	)
 	c.distributor = distributor.New(
 		distributor.WithPropose(c.propose),
--- a/daemon/gossiper/network_test.go
+++ b/daemon/gossiper/network_test.go
@@ -64,7 +64,7 @@
 		gossiper.WithSelf(wire.Member{Name: x.name, Domain: "suseong", Addr: x.addr, Service: "payout", Slots: 20, Ready: true, Inc: inc}),
 		gossiper.WithSeeds(n.seeds),
 		gossiper.WithRetention(n.keepDead, n.keepLeft),
-		gossiper.WithRand(rand.New(rand.NewPCG(n.seed, uint64(i)+1<<32))),
+		gossiper.WithRandom(rand.New(rand.NewPCG(n.seed, uint64(i)+1<<32))),
 		gossiper.WithSend(func(to netip.AddrPort, data []byte) error { return n.send(x, r, to, data) }),
 		gossiper.WithExchange(func(ctx context.Context, to netip.AddrPort, msg wire.Gossip) (wire.Gossip, error) {
 			return n.exchange(ctx, x, to, msg)
--- a/daemon/gossiper/options.go
+++ b/daemon/gossiper/options.go
@@ -34,8 +34,8 @@
 	return func(g *Gossiper) { g.exchange = exchange }
 }
 
-// WithRand sets the random source. Only the goroutine of Run uses it.
-func WithRand(r *rand.Rand) Option {
+// WithRandom sets the random source. Only the goroutine of Run uses it.
+func WithRandom(r *rand.Rand) Option {
 	return func(g *Gossiper) { g.rand = r }
 }
 
--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -4,7 +4,8 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 bin=$root/out/bin
 domains=(suseong dalseo buk)
-controllers=127.0.0.1:7101,127.0.0.1:7102,127.0.0.1:7103
+count=${CONTROLLERS:-3} # controllers
+voters=${VOTERS:-3}     # the first of them vote
 declare -A pids=()
 
 build() {
@@ -18,7 +19,8 @@
 controller() {
   cat >"$out/c$1.json" <<JSON
 {
-  "name": "c$1", "domain": "${domains[$1 - 1]}", "listen": "127.0.0.1:710$1", "voter": true, "data": "$out/c$1",
+  "name": "c$1", "domain": "${domains[($1 - 1) % 3]}", "listen": "127.0.0.1:$((7100 + $1))", "data": "$out/c$1",
+  "voter": $( (($1 <= voters)) && echo true || echo false),
   "peers": ["127.0.0.1:7101", "127.0.0.1:7102", "127.0.0.1:7103"]
 }
 JSON
@@ -26,19 +28,20 @@
   pids[c$1]=$!
 }
 
-# cluster: three controllers, the first of which starts the cluster
+# cluster: all controllers, the first of which starts the cluster; returns once the voters vote
 cluster() {
   mkdir -p "$out"
   cat >"$out/c1.json" <<JSON
 {"name": "c1", "domain": "${domains[0]}", "listen": "127.0.0.1:7101", "voter": true, "data": "$out/c1"}
 JSON
   "$bin/controller" --settings "$out/c1.json" init >"$out/init.log"
-  for i in 1 2 3; do controller "$i"; done
-  for ((k = 0; k < 100; k++)); do
-    if ctl status 2>/dev/null | awk '$2 == "leader" {found = 1} END {exit !found}'; then return; fi
+  local i k
+  for ((i = 1; i <= count; i++)); do controller "$i"; done
+  for ((k = 0; k < 150; k++)); do
+    if (($(ctl status 2>/dev/null | awk '/^NODE/ {nodes = 1} nodes && $3 == "true"' | wc -l) >= voters)); then return; fi
     sleep 0.2
   done
-  echo "no controller leads after 20 s" >&2
+  echo "the voters do not vote after 30 s" >&2
   return 1
 }
 
@@ -49,11 +52,9 @@
   "name": "d$1", "domain": "${domains[$1 % 3]}", "batch": "${batch:-counter}",
   "calls": "127.0.0.1:$((20000 + $1))", "peers": "127.0.0.1:$((21000 + $1))", "local": "127.0.0.1:$((22000 + $1))",
   "seeds": ["127.0.0.1:21001", "127.0.0.1:21002", "127.0.0.1:21003"],
-  "controllers": [
-    {"addr": "127.0.0.1:7101", "domain": "suseong"},
-    {"addr": "127.0.0.1:7102", "domain": "dalseo"},
-    {"addr": "127.0.0.1:7103", "domain": "buk"}
-  ]
+  "controllers": [$(for ((c = 1; c <= count; c++)); do
+    echo "    $( ((c > 1)) && echo ,){\"addr\": \"127.0.0.1:$((7100 + c))\", \"domain\": \"${domains[(c - 1) % 3]}\"}"
+  done)]
 }
 JSON
   "$bin/daemon" --settings "$out/d$1.json" 2>>"$out/d$1.log" &
@@ -78,6 +79,8 @@
 
 ctl() { "$bin/bluebellctl" --controllers "$controllers" "$@"; }
 
+controllers=$(addresses 7100 1 "$count")
+
 # stop NAME: planned stop, returns once the process has ended
 stop() {
   local pid=${pids[$1]}
@@ -131,3 +134,15 @@
     until (($(curl -s "http://127.0.0.1:$((22000 + k))/v1/status" | grep -o '"ready":true' | wc -l) >= want)); do sleep 0.1; done
   done
 }
+
+# ticks PID: processor time of a process, in hundredths of a second
+ticks() { awk '{sub(/.*\) /, ""); print $12 + $13}' "/proc/$1/stat"; }
+
+# ticks_of KIND: processor time of all processes whose names start with KIND
+ticks_of() {
+  local name sum=0
+  for name in "${!pids[@]}"; do
+    if [[ $name == "$1"* ]]; then sum=$((sum + $(ticks "${pids[$name]}"))); fi
+  done
+  echo "$sum"
+}
--- a/standin/announcer/announcer.go
+++ b/standin/announcer/announcer.go
@@ -54,8 +54,8 @@
 	return func(a *Announcer) { a.leave = limit }
 }
 
-// WithLog sets the logger.
-func WithLog(log hclog.Logger) Option {
+// WithLogger sets the logger.
+func WithLogger(log hclog.Logger) Option {
 	return func(a *Announcer) { a.log = log }
 }
 
--- a/standin/main.go
+++ b/standin/main.go
@@ -71,7 +71,7 @@
 		announcer.WithDaemon(cfg.daemonAddr),
 		announcer.WithUpstream(wire.Upstream{Service: cfg.service, Address: bound, Slots: cfg.slots, Conns: cfg.conns}),
 		announcer.WithLeave(cfg.leave),
-		announcer.WithLog(log),
+		announcer.WithLogger(log),
 	)
 	// After the first signal the default action returns, so that a second one ends the process at once.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -102,7 +102,7 @@
 		responder.WithCalls(cfg.callsAddr),
 		responder.WithDelay(responder.NewDelay(cfg.delay, cfg.spread, cfg.cold, cfg.factor, cfg.seed)),
 		responder.WithRecord(records.Record, records.Runs),
-		responder.WithLog(log),
+		responder.WithLogger(log),
 	)
 	router := echo.New()
 	answers.Register(router)
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -83,8 +83,8 @@
 	return func(r *Responder) { r.record, r.runs = record, runs }
 }
 
-// WithLog sets the logger.
-func WithLog(log hclog.Logger) Option {
+// WithLogger sets the logger.
+func WithLogger(log hclog.Logger) Option {
 	return func(r *Responder) { r.log = log }
 }
 
