Keep a daemon running with a damaged or full disk

Ruled out: taking the new version without storing it, since a restart would go back to the stored one. Measured: TestFullDisk fails when the old file stays and when the update is refused; TestRestart covers the damaged file.

--- a/controller/serve.go
+++ b/controller/serve.go
@@ -40,7 +40,7 @@
 	log           hclog.Logger
 	store         *storer.Storer
 	registrar     *registrar.Registrar
-	send          func(netip.AddrPort, wire.Packet)
+	send          func(netip.AddrPort, wire.Packet) // to a peer; tests replace it
 	messenger     *messenger.Messenger
 	replicator    *replicator.Replicator
 	distributor   *distributor.Distributor
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -184,7 +184,10 @@
 		d.log.Warn("claims not released", "error", err)
 	}
 	// Daemons that have not heard of the leave yet get refusals as not run instead of closed connections.
-	time.Sleep(lingerTime)
+	select {
+	case <-time.After(lingerTime):
+	case <-ctx.Done():
+	}
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
 			d.log.Error("calls were cut off", "error", err)
--- a/daemon/subscriber/store.go
+++ b/daemon/subscriber/store.go
@@ -57,3 +57,15 @@
 	}
 	return nil
 }
+
+// forget removes the stored snapshot, so that a restart cannot go back to it.
+func (s store) forget() error {
+	err := os.Remove(filepath.Join(s.folder, storeFile))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("%w: %v", ErrStore, err)
+	}
+	if err := saver.SyncFolder(s.folder); err != nil {
+		return fmt.Errorf("%w: %v", ErrStore, err)
+	}
+	return nil
+}
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -130,9 +130,7 @@
 
 // Run follows the configuration until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
-	if err := s.restore(); err != nil {
-		return err
-	}
+	s.restore()
 	backoff := minBackoff
 	for {
 		established, err := s.round(ctx)
@@ -171,21 +169,18 @@
 	return sleep(ctx, time.Duration(s.random.Int64N(int64(limit))))
 }
 
-// restore puts the stored snapshot in effect.
-func (s *Subscriber) restore() error {
+// restore puts the stored snapshot in effect. Without a usable one the first session begins with a barrier.
+func (s *Subscriber) restore() {
 	stored, err := s.store.load()
-	if err != nil {
-		return err
-	}
-	if stored == nil {
-		return nil
-	}
-	if stored.Batch().Name != s.batch {
+	switch {
+	case err != nil:
+		s.log.Error("stored snapshot not used", "error", err)
+	case stored == nil:
+	case stored.Batch().Name != s.batch:
 		s.log.Warn("stored snapshot is of another batch", "stored", stored.Batch().Name, "batch", s.batch)
-		return nil
+	default:
+		s.publish(stored)
 	}
-	s.publish(stored)
-	return nil
 }
 
 // order returns the controllers in random order, those of the own failure domain first and then those of the region.
@@ -217,14 +212,24 @@
 	if held != nil && next.Version() <= held.Version() {
 		return fmt.Errorf("%w: version %d, held %d", ErrRejected, next.Version(), held.Version())
 	}
-	// The snapshot must be durable before it is in effect, or a restart could go back to an older one.
-	if err := s.store.save(next); err != nil {
+	if err := s.keep(next); err != nil {
 		return err
 	}
 	s.publish(next)
 	return nil
 }
 
+// keep makes the snapshot durable before it is in effect, or a restart could go back to an older one. If that fails, for
+// example because the disk is full, no snapshot is kept: a restart then begins with a barrier.
+func (s *Subscriber) keep(next *compiler.Snapshot) error {
+	err := s.store.save(next)
+	if err == nil {
+		return nil
+	}
+	s.log.Error("snapshot not stored", "version", next.Version(), "error", err)
+	return s.store.forget()
+}
+
 func (s *Subscriber) build(frame wire.Frame) (*compiler.Snapshot, error) {
 	if frame.Full != nil {
 		return compiler.New(frame.Full.Batch, frame.Full.Sum)
--- a/daemon/subscriber/subscriber_test.go
+++ b/daemon/subscriber/subscriber_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -248,11 +250,15 @@
 	cases := []struct {
 		name    string
 		folder  bool
+		spoil   func(folder string) error // runs before each start
 		barrier bool
 		held    uint64
 	}{
-		{"without a disk", false, true, 0},
-		{"with a disk", true, false, 5},
+		{"without a disk", false, nil, true, 0},
+		{"with a disk", true, nil, false, 5},
+		{"damaged file", true, func(folder string) error {
+			return os.WriteFile(filepath.Join(folder, "snapshot"), []byte("x"), 0o600)
+		}, true, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -261,6 +267,9 @@
 				folder = t.TempDir()
 			}
 			for run := range 2 {
+				if c.spoil != nil {
+					is.New(t).NoErr(c.spoil(folder))
+				}
 				scenario(t, func(ctx context.Context, t *testing.T) {
 					hellos := make(chan wire.Hello, 1)
 					fake := newController(ctx, t, func(p *peer) {
@@ -269,9 +278,10 @@
 						p.send(full(5, "a"))
 						p.drain()
 					})
-					start(ctx, t, map[netip.AddrPort]*controller{near.Addr: fake}, subscriber.WithFolder(folder))
+					s := start(ctx, t, map[netip.AddrPort]*controller{near.Addr: fake}, subscriber.WithFolder(folder))
 					hello := <-hellos
 					synctest.Wait()
+					assertHeld(t, s, 5)
 					if run == 1 {
 						is.New(t).Equal(hello.Barrier, c.barrier)
 						is.New(t).Equal(hello.Held, c.held)
@@ -282,6 +292,28 @@
 	}
 }
 
+// TestFullDisk guards against a restart that goes back to the last version that could still be stored.
+func TestFullDisk(t *testing.T) {
+	folder := t.TempDir()
+	for _, c := range []struct{ version, held uint64 }{{5, 0}, {6, 5}, {7, 0}} {
+		scenario(t, func(ctx context.Context, t *testing.T) {
+			hellos := make(chan wire.Hello, 1)
+			fake := newController(ctx, t, func(p *peer) {
+				frame, _ := p.next()
+				hellos <- *frame.Hello
+				p.send(full(c.version, "a"))
+				p.drain()
+			})
+			s := start(ctx, t, map[netip.AddrPort]*controller{near.Addr: fake}, subscriber.WithFolder(folder))
+			is.New(t).Equal((<-hellos).Held, c.held)
+			synctest.Wait()
+			assertHeld(t, s, c.version)
+			// From here on no new file can be written.
+			is.New(t).NoErr(os.MkdirAll(filepath.Join(folder, "snapshot.tmp"), 0o700))
+		})
+	}
+}
+
 // TestMoves guards against a proxy that stays with a controller that cannot bring it new versions.
 func TestMoves(t *testing.T) {
 	const converge = 14 * time.Second // the time allowed for a change to be in force everywhere
