Send safe calls to a second member after a second without an answer

Its nested call waited for its deadline at a frozen daemon: the kernel of a frozen process acknowledges data, and without HTTP/2 pings nothing else tells. Ruled out: pings of our own on HTTP/1.1; giving up the first attempt after a while, since a call that takes long by nature would never end. Change: GET, HEAD and OPTIONS calls go to a second member after 1 s, within the retry budget; the first whole answer wins. Measured: TestFrozenMember fails without the second attempt.

--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -111,10 +111,11 @@
 			d.f.countRetry(service, false)
 		}
 		skip = append(skip, member.Name)
-		t := d.try(ctx, member.Addr.String())
+		t, report := d.attempt(ctx, member.Addr.String(), report, &skip)
 		if t.final {
 			return d.deliver(ctx, t, report, mayRun)
 		}
+		t.end()
 		report(t.outcome)
 		last = t.answer
 		mayRun = mayRun || !t.notRun
@@ -145,6 +146,7 @@
 	}
 	return result{answer: t.answer, done: func(err error) {
 		t.answer.close()
+		t.end()
 		if errors.Is(err, errBroken) {
 			t.outcome.Result = failure(ctx)
 		}
@@ -159,6 +161,14 @@
 	notRun  bool // the attempt certainly did not run
 	again   bool // the call may be sent to another member
 	final   bool // the answer is to be passed on
+	cancel  context.CancelFunc
+}
+
+// end frees the context of the attempt once its answer was passed on or given up.
+func (t tried) end() {
+	if t.cancel != nil {
+		t.cancel()
+	}
 }
 
 // try sends the call to one member.
--- /dev/null
+++ b/daemon/forwarder/hedge_test.go
@@ -0,0 +1,46 @@
+package forwarder_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestFrozenMember guards against safe calls that wait for their deadline at a member that is frozen, whose kernel still
+// acknowledges everything, and against slow answers that are given up or calls that run twice without need.
+func TestFrozenMember(t *testing.T) {
+	const frozen = time.Hour
+	cases := []struct {
+		name, method  string
+		first, second time.Duration // until the members answer
+		status        int
+		took          time.Duration
+		picks         int
+	}{
+		{"safe call", "GET", frozen, 0, 200, time.Second, 2},
+		{"other call", "POST", frozen, 0, 504, 10 * time.Second, 1},
+		{"both slow", "GET", 3 * time.Second, 4 * time.Second, 200, 3 * time.Second, 2},
+		{"second is faster", "GET", 3 * time.Second, time.Second, 200, 2 * time.Second, 2},
+		{"fast", "GET", 900 * time.Millisecond, 0, 200, 900 * time.Millisecond, 1},
+	}
+	for _, c := range cases {
+		run(t, c.name, 0, func(m *mesh) {
+			ingress := m.newIngress().Ingress()
+			for _, delay := range []time.Duration{c.first, c.second} {
+				m.addMember(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					select {
+					case <-time.After(delay):
+						ingress.ServeHTTP(w, r)
+					case <-r.Context().Done():
+					}
+				}))
+			}
+			m.upstream(func(http.ResponseWriter, *http.Request) {})
+			started := time.Now()
+			resp, _, err := m.call(c.method, "stock", "")
+			m.expect(resp, err, c.status, map[int]string{504: "unknown"}[c.status])
+			m.is.Equal(time.Since(started).Round(100*time.Millisecond), c.took)
+			m.is.Equal(m.picks, c.picks)
+		})
+	}
+}
