--- a/controller/distributor/distributor_test.go
+++ b/controller/distributor/distributor_test.go
@@ -37,7 +37,7 @@
 			if cmd.Claim != nil && cmd.Claim.Attempt == "lost" {
 				return wire.Result{}, errNoMajority
 			}
-			return wire.Result{Verdict: &wire.Verdict{State: registrar.Granted}}, nil
+			return wire.Result{Verdict: &wire.Verdict{State: wire.Granted}}, nil
 		}),
 		distributor.WithBarrier(func(context.Context) error {
 			f.barriers.Add(1)
@@ -166,7 +166,7 @@
 		attempt, state string
 		refused        bool
 	}{
-		{"1", registrar.Granted, false},
+		{"1", wire.Granted, false},
 		{"lost", "", true},
 	}
 	f := newFixture(t)
--- a/controller/history_test.go
+++ b/controller/history_test.go
@@ -21,7 +21,6 @@
 	"github.com/matryer/is"
 
 	"bluebellhoist/controller/administrator"
-	"bluebellhoist/controller/registrar"
 	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
@@ -172,7 +171,7 @@
 		case err != nil || random.IntN(8) == 0:
 			// The verdict did not arrive: the call is refused as not run and its claim is released.
 			_, _ = c.propose(ctx, random, wire.Command{Release: &claim})
-		case result.Verdict.State == registrar.Granted:
+		case result.Verdict.State == wire.Granted:
 			a.mu.Lock()
 			a.runs[claim.Key]++
 			a.mu.Unlock()
--- a/controller/registrar/grants.go
+++ b/controller/registrar/grants.go
@@ -9,17 +9,6 @@
 	"bluebellhoist/core/wire"
 )
 
-// States of a claim.
-const (
-	Granted  = "granted"  // this attempt may run the call
-	Running  = "running"  // another attempt may have run the call; its outcome is unknown
-	Done     = "done"     // the call ran; the answer may be stored
-	Released = "released" // this attempt was given up before it ran
-	Mismatch = "mismatch" // the key was used with another request
-	Expired  = "expired"  // the key is too old to tell whether the call ran
-	Invalid  = "invalid"  // the key is no UUIDv7 or lies in the future
-)
-
 type grantKey struct {
 	service string
 	key     string
@@ -72,32 +61,32 @@
 	}
 	old, exists := g.byKey[grantKey{c.Service, c.Key}]
 	if slices.Contains(old.Released, c.Attempt) {
-		return wire.Verdict{State: Released}
+		return wire.Verdict{State: wire.Released}
 	}
-	if !exists || old.State == Released {
-		g.put(wire.Grant{Claim: c, State: Running, At: clock, Released: old.Released})
-		return wire.Verdict{State: Granted}
+	if !exists || old.State == wire.Released {
+		g.put(wire.Grant{Claim: c, State: wire.Running, At: clock, Released: old.Released})
+		return wire.Verdict{State: wire.Granted}
 	}
 	if old.Claim.Digest != c.Digest {
-		return wire.Verdict{State: Mismatch}
+		return wire.Verdict{State: wire.Mismatch}
 	}
-	if old.State == Done {
-		return wire.Verdict{State: Done, Status: old.Claim.Status, Kind: old.Claim.Kind, Whole: old.Claim.Whole, Body: old.Claim.Body}
+	if old.State == wire.Done {
+		return wire.Verdict{State: wire.Done, Status: old.Claim.Status, Kind: old.Claim.Kind, Whole: old.Claim.Whole, Body: old.Claim.Body}
 	}
 	if old.Claim.Attempt == c.Attempt {
-		return wire.Verdict{State: Granted}
+		return wire.Verdict{State: wire.Granted}
 	}
-	return wire.Verdict{State: Running}
+	return wire.Verdict{State: wire.Running}
 }
 
 // release frees the key. Its attempt has not run and cannot be granted any more.
 func (g *grants) release(c wire.Claim, clock int64) wire.Verdict {
 	old, exists := g.byKey[grantKey{c.Service, c.Key}]
-	if exists && old.State != Released && (old.State != Running || old.Claim.Attempt != c.Attempt) {
+	if exists && old.State != wire.Released && (old.State != wire.Running || old.Claim.Attempt != c.Attempt) {
 		return wire.Verdict{State: old.State}
 	}
-	g.put(wire.Grant{Claim: c, State: Released, At: clock, Released: released(old.Released, c.Attempt)})
-	return wire.Verdict{State: Released}
+	g.put(wire.Grant{Claim: c, State: wire.Released, At: clock, Released: released(old.Released, c.Attempt)})
+	return wire.Verdict{State: wire.Released}
 }
 
 // released adds an attempt to the released ones of a key. A late claim of any of them must not be granted, since
@@ -114,26 +103,26 @@
 // finish stores the answer of the attempt that holds the key.
 func (g *grants) finish(c wire.Claim) wire.Verdict {
 	old, exists := g.byKey[grantKey{c.Service, c.Key}]
-	if !exists || old.State != Running || old.Claim.Attempt != c.Attempt {
-		return wire.Verdict{State: Running}
+	if !exists || old.State != wire.Running || old.Claim.Attempt != c.Attempt {
+		return wire.Verdict{State: wire.Running}
 	}
 	c.Digest = old.Claim.Digest
-	g.put(wire.Grant{Claim: c, State: Done, At: old.At})
-	return wire.Verdict{State: Done}
+	g.put(wire.Grant{Claim: c, State: wire.Done, At: old.At})
+	return wire.Verdict{State: wire.Done}
 }
 
 // checkKey returns the state that refuses the key, or the empty string.
 func checkKey(key string, clock int64) string {
 	id, err := keyer.Parse(key)
 	if err != nil {
-		return Invalid
+		return wire.Invalid
 	}
 	err = keyer.CheckAge(id, time.UnixMilli(clock))
 	switch {
 	case errors.Is(err, keyer.ErrExpired):
-		return Expired
+		return wire.Expired
 	case err != nil:
-		return Invalid
+		return wire.Invalid
 	}
 	return ""
 }
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -17,16 +17,6 @@
 	"bluebellhoist/core/wire"
 )
 
-// States of a claim, as the controllers answer it.
-const (
-	stateGranted  = "granted"
-	stateRunning  = "running"
-	stateDone     = "done"
-	stateMismatch = "mismatch"
-	stateExpired  = "expired"
-	stateInvalid  = "invalid"
-)
-
 // arrival is one call on the ingress side.
 type arrival struct {
 	f        *Forwarder
@@ -169,19 +159,19 @@
 		return refusal(http.StatusServiceUnavailable, NotRun, "claim: %v", err)
 	}
 	switch verdict.State {
-	case stateGranted:
+	case wire.Granted:
 		return c.checkTime(ctx)
-	case stateRunning:
+	case wire.Running:
 		return newReport(http.StatusConflict, report{
-			Error: "another attempt with this key may have run the call", Outcome: Unknown, State: stateRunning,
+			Error: "another attempt with this key may have run the call", Outcome: Unknown, State: wire.Running,
 		})
-	case stateDone:
+	case wire.Done:
 		return replay(verdict)
-	case stateMismatch:
+	case wire.Mismatch:
 		return refusal(http.StatusUnprocessableEntity, NotRun, "%s was used with another request", HeaderKey)
-	case stateExpired:
+	case wire.Expired:
 		return refusal(http.StatusConflict, Unknown, "%s is too old", HeaderKey)
-	case stateInvalid:
+	case wire.Invalid:
 		return refusal(http.StatusBadRequest, NotRun, "%s is not accepted", HeaderKey)
 	}
 	return refusal(http.StatusServiceUnavailable, NotRun, "claim is in state %q", verdict.State)
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -5,7 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"bluebellhoist/daemon/gossiper"
+	"bluebellhoist/core/wire"
 )
 
 // gauges shows the state of the daemon.
@@ -27,7 +27,7 @@
 	set.NewGauge("bluebell_members_alive", func() float64 {
 		alive := 0
 		for _, m := range d.gossiper.Members() {
-			if m.State == gossiper.Alive {
+			if m.State == wire.Alive {
 				alive++
 			}
 		}
--- a/daemon/gossiper/datagram.go
+++ b/daemon/gossiper/datagram.go
@@ -55,7 +55,7 @@
 // valid reports whether a received entry can be stored.
 func valid(m wire.Member) bool {
 	switch m.State {
-	case Alive, Suspect, Dead, Left:
+	case wire.Alive, wire.Suspect, wire.Dead, wire.Left:
 	default:
 		return false
 	}
--- a/daemon/gossiper/exchange.go
+++ b/daemon/gossiper/exchange.go
@@ -40,7 +40,7 @@
 // join contacts seeds, and members forgotten after a stall, until one has answered.
 func (g *Gossiper) join(ctx context.Context, exchanges chan<- struct{}) {
 	candidates := slices.DeleteFunc(slices.Concat(g.seeds, g.rejoin), func(a netip.AddrPort) bool { return a == g.self.Addr })
-	if len(candidates) == 0 || g.self.State == Left {
+	if len(candidates) == 0 || g.self.State == wire.Left {
 		return
 	}
 	to := candidates[g.rand.IntN(len(candidates))]
--- a/daemon/gossiper/failure_test.go
+++ b/daemon/gossiper/failure_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"bluebellhoist/core/wire"
-	"bluebellhoist/daemon/gossiper"
 )
 
 // TestSpread guards against an upstream that is leaving and still gets work from members that did not hear of it.
@@ -46,7 +45,7 @@
 	n.run(40, func(n *network, nodes []*node) {
 		x := nodes[20]
 		n.kill(x)
-		n.until(12*time.Second, "dead", func(y *node) bool { return lookup(y, x.name).State == gossiper.Dead })
+		n.until(12*time.Second, "dead", func(y *node) bool { return lookup(y, x.name).State == wire.Dead })
 		time.Sleep(100 * time.Second)
 		n.start(40, 0) // learns of the dead member late
 		time.Sleep(time.Minute)
@@ -90,7 +89,7 @@
 				x := n.start(9, uint64(time.Now().Add(-time.Hour).UnixMilli()))
 				x.Update(func(m *wire.Member) { m.Service = "seller" })
 				n.until(10*time.Second, "new entry", func(y *node) bool {
-					return lookup(y, x.name).State == gossiper.Alive && lookup(y, x.name).Service == "seller"
+					return lookup(y, x.name).State == wire.Alive && lookup(y, x.name).Service == "seller"
 				})
 			})
 		})
@@ -112,11 +111,11 @@
 				n.setCut(func(_, _ *node) bool { return false })
 				n.kill(nodes[12])
 				time.Sleep(pause)
-				is.New(t).Equal(lookup(nodes[0], frozen).State == gossiper.Suspect, pause < time.Minute)
+				is.New(t).Equal(lookup(nodes[0], frozen).State == wire.Suspect, pause < time.Minute)
 				thaw()
 				back := func(x *node) bool {
 					n.noneDead(x, func(m wire.Member) bool { return m.Name != frozen && m.Name != killed })
-					return lookup(x, frozen).State == gossiper.Alive && alive(x) == 29
+					return lookup(x, frozen).State == wire.Alive && alive(x) == 29
 				}
 				n.until(time.Minute, "frozen member back", back)
 				time.Sleep(10 * time.Second)
@@ -136,7 +135,7 @@
 		x := nodes[30]
 		is.New(t).NoErr(x.Leave(context.Background()))
 		n.kill(x)
-		n.until(5*time.Second, "left", func(y *node) bool { return lookup(y, x.name).State == gossiper.Left })
+		n.until(5*time.Second, "left", func(y *node) bool { return lookup(y, x.name).State == wire.Left })
 		time.Sleep(2 * time.Minute)
 		n.until(0, "dropped", func(y *node) bool { return lookup(y, x.name).Name == "" })
 	})
--- a/daemon/gossiper/fuzz_test.go
+++ b/daemon/gossiper/fuzz_test.go
@@ -36,8 +36,8 @@
 // FuzzDeliver guards against datagrams that stop the daemon or displace its own entry. Corrupt bytes are delivered as they
 // are, and once more behind a valid checksum, so that decoding and merging are reached too.
 func FuzzDeliver(f *testing.F) {
-	self := wire.Member{Name: "a", Addr: address(1), Inc: 5, State: gossiper.Alive}
-	for _, state := range []string{gossiper.Alive, gossiper.Suspect, gossiper.Dead, gossiper.Left, "?"} {
+	self := wire.Member{Name: "a", Addr: address(1), Inc: 5, State: wire.Alive}
+	for _, state := range []string{wire.Alive, wire.Suspect, wire.Dead, wire.Left, "?"} {
 		for _, kind := range []string{"ping", "ack", "relay", "push", "sums", "sync", "?"} {
 			other := wire.Member{Name: "b", Addr: address(2), Inc: 7, State: state}
 			mine := self
@@ -65,7 +65,7 @@
 			time.Sleep(6 * time.Second)
 			synctest.Wait()
 			own := lookup(g, self.Name)
-			is.True(own.State == gossiper.Alive && own.Inc >= self.Inc && own.Addr == self.Addr) // the own entry stays
+			is.True(own.State == wire.Alive && own.Inc >= self.Inc && own.Addr == self.Addr) // the own entry stays
 		})
 	})
 }
@@ -77,7 +77,7 @@
 		g := gossiper.New(gossiper.WithSelf(wire.Member{Name: "a", Addr: address(1)}))
 		defer running(g)()
 		body, err := encoder.Marshal(wire.Gossip{Kind: "push", From: "b",
-			Members: []wire.Member{{Name: "b", Addr: address(2), Inc: 7, State: gossiper.Alive}}})
+			Members: []wire.Member{{Name: "b", Addr: address(2), Inc: 7, State: wire.Alive}}})
 		is.NoErr(err)
 		data := seal(body)
 		for i := range len(data) * 8 {
--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -15,14 +15,6 @@
 	"bluebellhoist/core/wire"
 )
 
-// States of a member.
-const (
-	Alive   = "alive"
-	Suspect = "suspect"
-	Dead    = "dead"
-	Left    = "left"
-)
-
 // ErrUnconfirmed reports that too few members confirmed a leave.
 var ErrUnconfirmed = errors.New("leave not confirmed by other members")
 
@@ -124,7 +116,7 @@
 	if g.self.Inc == 0 {
 		g.self.Inc = uint64(time.Now().UnixMilli())
 	}
-	g.self.State = Alive
+	g.self.State = wire.Alive
 	g.table.put(g.self)
 	g.publish()
 	return g
--- a/daemon/gossiper/leave.go
+++ b/daemon/gossiper/leave.go
@@ -33,9 +33,9 @@
 }
 
 func (g *Gossiper) startLeave(done chan struct{}) {
-	if g.self.State != Left {
+	if g.self.State != wire.Left {
 		m := g.self.Member
-		m.State, m.Ready = Left, false
+		m.State, m.Ready = wire.Left, false
 		m.Inc++
 		g.store(g.self, m, time.Now())
 		g.publish()
@@ -46,7 +46,7 @@
 		g.leaving.done = append(g.leaving.done, done)
 		return
 	}
-	alive := len(g.peers(leaveQuorum, func(e *entry) bool { return e.State == Alive }))
+	alive := len(g.peers(leaveQuorum, func(e *entry) bool { return e.State == wire.Alive }))
 	g.leaving = &leave{seqs: map[uint64]bool{}, confirmed: map[string]bool{}, need: alive, done: []chan struct{}{done}}
 	g.announceLeave()
 }
--- a/daemon/gossiper/merge.go
+++ b/daemon/gossiper/merge.go
@@ -9,7 +9,7 @@
 )
 
 // rank orders the states of one incarnation: the higher one wins.
-var rank = map[string]int{Alive: 0, Suspect: 1, Dead: 2, Left: 3}
+var rank = map[string]int{wire.Alive: 0, wire.Suspect: 1, wire.Dead: 2, wire.Left: 3}
 
 // verdicts are the known entries that the sender of a message has wrong.
 type verdicts struct {
@@ -37,7 +37,7 @@
 			g.escalate(e, m, now, &v)
 		case m.Name == msg.From && (m.Inc < e.Inc || m.State != e.State):
 			v.stale = append(v.stale, e)
-		case m.Inc < e.Inc && e.State == Alive && m.State != Alive && !g.queue.has(e.Name):
+		case m.Inc < e.Inc && e.State == wire.Alive && m.State != wire.Alive && !g.queue.has(e.Name):
 			g.queue.add(e.Name) // a refutation has not reached the sender
 		}
 	}
@@ -46,7 +46,7 @@
 
 // insert adds an unknown member. Dead and left ones were dropped here earlier and must not return.
 func (g *Gossiper) insert(m wire.Member, now time.Time) {
-	if m.State == Dead || m.State == Left {
+	if m.State == wire.Dead || m.State == wire.Left {
 		return
 	}
 	g.log.Info("new member", "member", m.Name, "addr", m.Addr, "state", m.State)
@@ -57,7 +57,7 @@
 
 // advance takes an entry with a higher incarnation.
 func (g *Gossiper) advance(e *entry, m wire.Member, now time.Time, v *verdicts) {
-	if m.State == Dead && e.State != Dead {
+	if m.State == wire.Dead && e.State != wire.Dead {
 		// Another member's verdict on a member that is not suspected here may come from the other side of a partition.
 		m.State = e.State
 		v.accused = append(v.accused, e)
@@ -66,7 +66,7 @@
 		g.log.Info("member changed state", "member", m.Name, "from", e.State, "to", m.State)
 	}
 	g.store(e, m, now)
-	if m.State != Dead {
+	if m.State != wire.Dead {
 		g.queue.add(m.Name)
 	}
 }
@@ -74,13 +74,13 @@
 // escalate takes an entry of the same incarnation with a worse state.
 func (g *Gossiper) escalate(e *entry, m wire.Member, now time.Time, v *verdicts) {
 	switch m.State {
-	case Suspect:
+	case wire.Suspect:
 		g.suspect(e, now)
-	case Left:
+	case wire.Left:
 		g.store(e, m, now)
 		g.queue.add(m.Name)
-	case Dead:
-		if e.State == Alive {
+	case wire.Dead:
+		if e.State == wire.Alive {
 			v.accused = append(v.accused, e)
 		}
 	}
@@ -88,12 +88,12 @@
 
 // suspect starts the suspicion timer of a member.
 func (g *Gossiper) suspect(e *entry, now time.Time) {
-	if e.State != Alive {
+	if e.State != wire.Alive {
 		return
 	}
 	g.log.Info("member is suspect", "member", e.Name, "addr", e.Addr)
 	m := e.Member
-	m.State = Suspect
+	m.State = wire.Suspect
 	g.store(e, m, now)
 	g.queue.add(e.Name)
 }
@@ -102,7 +102,7 @@
 func (g *Gossiper) refute(m wire.Member, now time.Time) {
 	own := g.self.Member
 	if m.Inc < own.Inc {
-		if m.State != Alive && !g.queue.has(own.Name) {
+		if m.State != wire.Alive && !g.queue.has(own.Name) {
 			g.queue.add(own.Name)
 		}
 		return
@@ -122,7 +122,7 @@
 	g.rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 	for _, e := range entries[:min(len(entries), accusedLimit)] {
 		told := *e
-		told.State = Suspect
+		told.State = wire.Suspect
 		told.size = size(told.Member)
 		g.sendTo(e.Addr, wire.Gossip{Kind: kindPush}, &told)
 		if !slices.Contains(g.accused, e.Name) {
--- a/daemon/gossiper/network_test.go
+++ b/daemon/gossiper/network_test.go
@@ -237,7 +237,7 @@
 func (n *network) noneDead(x *node, among func(wire.Member) bool) {
 	n.t.Helper()
 	for _, m := range x.Members() {
-		if m.State == gossiper.Dead && among(m) {
+		if m.State == wire.Dead && among(m) {
 			n.t.Fatalf("%s holds %s dead", x.name, m.Name)
 		}
 	}
@@ -246,7 +246,7 @@
 func alive(x *node) int {
 	count := 0
 	for _, m := range x.Members() {
-		if m.State == gossiper.Alive {
+		if m.State == wire.Alive {
 			count++
 		}
 	}
--- a/daemon/gossiper/probe.go
+++ b/daemon/gossiper/probe.go
@@ -83,7 +83,7 @@
 		}
 	}
 	e := g.nextTarget()
-	if e == nil || g.self.State == Left {
+	if e == nil || g.self.State == wire.Left {
 		return
 	}
 	g.seq++
@@ -94,7 +94,7 @@
 // ping sends the current probe to e, with what e has to refute.
 func (g *Gossiper) ping(e *entry) {
 	first := []*entry{g.self}
-	if e.State != Alive {
+	if e.State != wire.Alive {
 		first = append(first, e)
 	}
 	g.sendTo(e.Addr, wire.Gossip{Kind: kindPing, Seq: g.seq}, first...)
@@ -134,11 +134,11 @@
 // confirm pings suspects whose refutation may have been lost on its way here. Without it a loss of 20 % of the datagrams
 // made single members declare others dead.
 func (g *Gossiper) confirm(now time.Time) {
-	if g.self.State == Left {
+	if g.self.State == wire.Left {
 		return
 	}
 	due := g.peers(confirmLimit, func(e *entry) bool {
-		return e.State == Suspect && now.Sub(e.at) >= confirmAfter && now.Sub(e.pinged) >= confirmInterval
+		return e.State == wire.Suspect && now.Sub(e.at) >= confirmAfter && now.Sub(e.pinged) >= confirmInterval
 	})
 	for _, e := range due {
 		e.pinged = now
@@ -173,13 +173,13 @@
 
 // retry pings one random dead member and one seed that is not a reachable member, so that partitions heal.
 func (g *Gossiper) retry() {
-	if g.self.State == Left {
+	if g.self.State == wire.Left {
 		return
 	}
 	var dead []*entry
 	known := map[netip.AddrPort]bool{g.self.Addr: true}
 	for _, e := range g.table.list {
-		if e.State == Dead {
+		if e.State == wire.Dead {
 			dead = append(dead, e)
 		}
 		if e.reachable() {
--- a/daemon/gossiper/run.go
+++ b/daemon/gossiper/run.go
@@ -98,7 +98,7 @@
 	g.log.Warn("control loop stalled", "gap", gap)
 	g.probe = nil
 	for _, e := range g.table.list {
-		if e.State == Suspect {
+		if e.State == wire.Suspect {
 			e.at = e.at.Add(gap)
 		}
 	}
@@ -127,13 +127,13 @@
 		age := now.Sub(e.at)
 		switch {
 		case e == g.self:
-		case e.State == Suspect && age >= suspicion:
+		case e.State == wire.Suspect && age >= suspicion:
 			g.log.Info("member is dead", "member", e.Name, "addr", e.Addr)
 			m := e.Member
-			m.State = Dead
+			m.State = wire.Dead
 			g.store(e, m, now)
 			g.queue.drop(e.Name)
-		case e.State == Dead && age >= g.keepDead, e.State == Left && age >= g.keepLeft:
+		case e.State == wire.Dead && age >= g.keepDead, e.State == wire.Left && age >= g.keepLeft:
 			old = true
 		}
 	}
@@ -142,7 +142,7 @@
 	}
 	g.table.remove(func(e *entry) bool {
 		age := now.Sub(e.at)
-		return e != g.self && (e.State == Dead && age >= g.keepDead || e.State == Left && age >= g.keepLeft)
+		return e != g.self && (e.State == wire.Dead && age >= g.keepDead || e.State == wire.Left && age >= g.keepLeft)
 	})
 	g.dirty = true
 }
--- a/daemon/gossiper/sums.go
+++ b/daemon/gossiper/sums.go
@@ -21,9 +21,9 @@
 func checksum(m wire.Member) uint32 {
 	m.Inc = 0
 	switch m.State {
-	case Suspect:
-		m.State = Alive
-	case Dead, Left:
+	case wire.Suspect:
+		m.State = wire.Alive
+	case wire.Dead, wire.Left:
 		m = wire.Member{Name: m.Name, State: m.State}
 	}
 	data, err := encoder.Marshal(m)
--- a/daemon/gossiper/table.go
+++ b/daemon/gossiper/table.go
@@ -37,7 +37,7 @@
 
 // reachable reports whether the member takes part in probes and pushes.
 func (e *entry) reachable() bool {
-	return e.State == Alive || e.State == Suspect
+	return e.State == wire.Alive || e.State == wire.Suspect
 }
 
 // table holds the entries by name and in order of name.
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -80,7 +80,7 @@
 			c.stats = &stats{seen: now}
 		}
 		g.known[m.Name] = c
-		if !m.Ready || (m.State != "alive" && m.State != "suspect") {
+		if !m.Ready || (m.State != wire.Alive && m.State != wire.Suspect) {
 			continue
 		}
 		g.all = append(g.all, c)
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -100,7 +100,7 @@
 		exchanger.WithLogger(log.Named("exchanger")),
 	)
 	d.gossiper = gossiper.New(
-		gossiper.WithSelf(wire.Member{Name: s.Name, Domain: s.Domain, Addr: s.Peers, State: gossiper.Alive}),
+		gossiper.WithSelf(wire.Member{Name: s.Name, Domain: s.Domain, Addr: s.Peers, State: wire.Alive}),
 		gossiper.WithSeeds(s.Seeds),
 		gossiper.WithSend(d.exchanger.Send),
 		gossiper.WithExchange(d.exchanger.Exchange),
