--- a/controller/serve.go
+++ b/controller/serve.go
@@ -59,6 +59,9 @@
 	if err != nil {
 		return err
 	}
+	if store.Identity().Cluster == "" {
+		log.Info("member of no cluster yet, asks its peers to join; init starts a cluster, once and on one node")
+	}
 	return newController(s, store, log).run(ctx, listener)
 }
 
--- a/core/loader/loader.go
+++ b/core/loader/loader.go
@@ -11,8 +11,8 @@
 	"github.com/tailscale/hujson"
 )
 
-// ErrInvalid reports settings or texts that cannot be used.
-var ErrInvalid = errors.New("invalid settings")
+// ErrInvalid reports JSON that cannot be used.
+var ErrInvalid = errors.New("not usable")
 
 // File reads the settings at path into v and rejects unknown fields.
 func File(path string, v any) error {
