--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -14,17 +13,12 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellhoist/controller/registrar"
+	"bluebellhoist/core/framer"
 	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
 
 const (
-	// BeatInterval is the time between two beats on a session.
-	BeatInterval = 2 * time.Second
-	// SilenceLimit is the time without a frame after which a session is closed.
-	SilenceLimit = 6 * time.Second
-
-	writeTimeout   = 5 * time.Second
 	barrierTimeout = 5 * time.Second
 	// proposeTimeout is shorter than the time after which a daemon takes an unanswered request for a dead session.
 	proposeTimeout = 700 * time.Millisecond
@@ -34,9 +28,6 @@
 	proposalLimit = 256
 )
 
-// ErrSession reports a session that ended because of the daemon or the network.
-var ErrSession = errors.New("session failed")
-
 // Distributor serves daemon sessions.
 type Distributor struct {
 	propose func(context.Context, wire.Command) (wire.Result, error)
@@ -100,8 +91,7 @@
 		d.log.Debug("session not accepted", "remote", r.RemoteAddr, "error", err)
 		return
 	}
-	conn.SetReadLimit(readLimit)
-	s := newSession(d, conn)
+	s := newSession(d, framer.New(conn, framer.WithLimit(readLimit)))
 	if !d.add(s) {
 		_ = conn.Close(websocket.StatusGoingAway, "controller is stopping")
 		return
--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -8,16 +8,15 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/coder/websocket"
 
-	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/framer"
 	"bluebellhoist/core/wire"
 )
 
 // session is one connection of a daemon.
 type session struct {
 	d       *Distributor
-	conn    *websocket.Conn
+	conn    *framer.Framer
 	hello   atomic.Pointer[wire.Hello]
 	held    atomic.Uint64
 	pending atomic.Pointer[sentUpdate]
@@ -34,7 +33,7 @@
 	at      time.Time
 }
 
-func newSession(d *Distributor, conn *websocket.Conn) *session {
+func newSession(d *Distributor, conn *framer.Framer) *session {
 	return &session{
 		d:       d,
 		conn:    conn,
@@ -54,7 +53,7 @@
 	go func() { done <- s.write(ctx) }()
 	err := <-done
 	cancel()
-	_ = s.conn.CloseNow()
+	s.conn.Close()
 	<-done
 	return err
 }
@@ -64,7 +63,7 @@
 	var proposals sync.WaitGroup
 	defer proposals.Wait()
 	for {
-		frame, err := s.receive(ctx)
+		frame, err := s.conn.Receive(ctx)
 		if err != nil {
 			return err
 		}
@@ -94,20 +93,6 @@
 	}
 }
 
-func (s *session) receive(ctx context.Context) (wire.Frame, error) {
-	ctx, cancel := context.WithTimeout(ctx, SilenceLimit)
-	defer cancel()
-	var frame wire.Frame
-	_, data, err := s.conn.Read(ctx)
-	if err != nil {
-		return frame, fmt.Errorf("%w: %v", ErrSession, err)
-	}
-	if err := encoder.Unmarshal(data, &frame); err != nil {
-		return frame, fmt.Errorf("%w: %v", ErrSession, err)
-	}
-	return frame, nil
-}
-
 // answer runs the claim command of a frame and replies with its verdict.
 func (s *session) answer(ctx context.Context, frame wire.Frame) {
 	cmd := wire.Command{Claim: frame.Claim, Release: frame.Release, Finish: frame.Finish}
@@ -137,7 +122,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	beats := time.NewTicker(BeatInterval)
+	beats := time.NewTicker(framer.BeatInterval)
 	defer beats.Stop()
 	sent, err := s.start(ctx, hello)
 	if err != nil {
@@ -155,11 +140,11 @@
 				return err
 			}
 		case reply := <-s.replies:
-			err = s.send(ctx, reply)
+			err = s.conn.Send(ctx, reply)
 		case <-beats.C:
-			err = s.send(ctx, wire.Frame{Beat: &wire.Beat{Version: sent, Fresh: s.d.fresh()}})
+			err = s.conn.Send(ctx, wire.Frame{Beat: &wire.Beat{Version: sent, Fresh: s.d.fresh()}})
 		case <-s.bye:
-			return s.send(ctx, wire.Frame{Bye: true})
+			return s.conn.Send(ctx, wire.Frame{Bye: true})
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -172,15 +157,15 @@
 // start handles a hello and returns the version that the daemon holds.
 func (s *session) start(ctx context.Context, hello wire.Hello) (uint64, error) {
 	if !hello.Barrier {
-		return hello.Held, s.send(ctx, wire.Frame{Beat: &wire.Beat{Version: hello.Held, Fresh: s.d.fresh()}})
+		return hello.Held, s.conn.Send(ctx, wire.Frame{Beat: &wire.Beat{Version: hello.Held, Fresh: s.d.fresh()}})
 	}
 	barrierCtx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
 	if err := s.d.barrier(barrierCtx); err != nil {
-		_ = s.send(ctx, wire.Frame{Error: "no majority: " + err.Error()})
-		return 0, fmt.Errorf("%w: barrier: %v", ErrSession, err)
+		_ = s.conn.Send(ctx, wire.Frame{Error: "no majority: " + err.Error()})
+		return 0, fmt.Errorf("%w: barrier: %v", framer.ErrSession, err)
 	}
-	return hello.Held, s.send(ctx, wire.Frame{Beat: &wire.Beat{Version: hello.Held, Fresh: true}})
+	return hello.Held, s.conn.Send(ctx, wire.Frame{Beat: &wire.Beat{Version: hello.Held, Fresh: true}})
 }
 
 // update sends what the daemon lacks and returns the version that it will then hold.
@@ -192,7 +177,7 @@
 	}
 	batch, _ := view.Batch(hello.Batch)
 	s.pending.Store(&sentUpdate{batch: hello.Batch, version: batch.Version, at: time.Now()})
-	if err := s.sendData(ctx, data); err != nil {
+	if err := s.conn.SendEncoded(ctx, data); err != nil {
 		return sent, err
 	}
 	return batch.Version, nil
@@ -207,20 +192,3 @@
 	name := fmt.Sprintf(`bluebell_update_ack_seconds{batch=%q}`, sent.batch)
 	metrics.GetOrCreateHistogram(name).UpdateDuration(sent.at)
 }
-
-func (s *session) send(ctx context.Context, frame wire.Frame) error {
-	data, err := encoder.Marshal(frame)
-	if err != nil {
-		return err
-	}
-	return s.sendData(ctx, data)
-}
-
-func (s *session) sendData(ctx context.Context, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	if err := s.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
-		return fmt.Errorf("%w: %v", ErrSession, err)
-	}
-	return nil
-}
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -14,9 +14,16 @@
 	"github.com/coder/websocket"
 
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/framer"
 	"bluebellhoist/core/wire"
 )
 
+// Reasons to leave a controller.
+var (
+	errStopping = errors.New("controller is stopping")
+	errStale    = errors.New("controller has no majority")
+)
+
 // Bytes of session messages, without the framing of WebSocket and TCP.
 var (
 	bytesIn  = metrics.NewCounter(`bluebell_control_bytes_total{link="session",direction="in"}`)
@@ -26,7 +33,7 @@
 // session is one connection to a controller.
 type session struct {
 	s        *Subscriber
-	conn     *websocket.Conn
+	conn     *framer.Framer
 	ctx      context.Context
 	cancel   context.CancelFunc
 	outgoing chan wire.Frame
@@ -53,12 +60,13 @@
 	if err != nil {
 		return false, fmt.Errorf("%w: %v", ErrSession, err)
 	}
-	conn.SetReadLimit(encoder.MaxMessage)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n := &session{s: s, conn: conn, ctx: ctx, cancel: cancel, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
+	n := &session{s: s, ctx: ctx, cancel: cancel, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
+	n.conn = framer.New(conn, framer.WithLimit(encoder.MaxMessage), framer.WithCounters(n.sent, n.got))
 	s.log.Info("connected", "controller", c.Addr)
-	return n.run()
+	established, err := n.run()
+	return established, fmt.Errorf("%w: %w", ErrSession, err)
 }
 
 func (n *session) run() (bool, error) {
@@ -72,10 +80,19 @@
 	}()
 	established, err := n.read(n.ctx)
 	n.cancel()
-	_ = n.conn.CloseNow()
+	n.conn.Close()
 	return established, errors.Join(err, <-writer)
 }
 
+func (n *session) sent(bytes int) {
+	bytesOut.Add(bytes)
+}
+
+func (n *session) got(bytes int) {
+	bytesIn.Add(bytes)
+	n.received.Store(time.Now().UnixNano())
+}
+
 // end fails all requests that wait for an answer.
 func (n *session) end() {
 	n.mu.Lock()
@@ -99,10 +116,10 @@
 }
 
 func (n *session) write(ctx context.Context) error {
-	if err := n.send(ctx, n.hello(false)); err != nil {
+	if err := n.conn.Send(ctx, n.hello(false)); err != nil {
 		return err
 	}
-	beats := time.NewTicker(BeatInterval)
+	beats := time.NewTicker(framer.BeatInterval)
 	defer beats.Stop()
 	for {
 		var frame wire.Frame
@@ -113,31 +130,17 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if err := n.send(ctx, frame); err != nil {
+		if err := n.conn.Send(ctx, frame); err != nil {
 			return err
 		}
 	}
 }
 
-func (n *session) send(ctx context.Context, frame wire.Frame) error {
-	data, err := encoder.Marshal(frame)
-	if err != nil {
-		return fmt.Errorf("%w: %v", ErrSession, err)
-	}
-	bytesOut.Add(len(data))
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	if err := n.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
-		return fmt.Errorf("%w: %v", ErrSession, err)
-	}
-	return nil
-}
-
 // read handles the controller's frames and reports whether there was any.
 func (n *session) read(ctx context.Context) (bool, error) {
 	established := false
 	for {
-		frame, err := n.receive(ctx)
+		frame, err := n.conn.Receive(ctx)
 		if err != nil {
 			return established, err
 		}
@@ -151,26 +154,10 @@
 	}
 }
 
-func (n *session) receive(ctx context.Context) (wire.Frame, error) {
-	ctx, cancel := context.WithTimeout(ctx, SilenceLimit)
-	defer cancel()
-	var frame wire.Frame
-	_, data, err := n.conn.Read(ctx)
-	if err != nil {
-		return frame, fmt.Errorf("%w: %v", ErrSession, err)
-	}
-	bytesIn.Add(len(data))
-	n.received.Store(time.Now().UnixNano())
-	if err := encoder.Unmarshal(data, &frame); err != nil {
-		return frame, fmt.Errorf("%w: %v", ErrSession, err)
-	}
-	return frame, nil
-}
-
 func (n *session) handle(ctx context.Context, frame wire.Frame) error {
 	switch {
 	case frame.Bye:
-		return fmt.Errorf("%w: controller is stopping", ErrSession)
+		return errStopping
 	case frame.Full != nil, frame.Delta != nil:
 		return n.take(ctx, frame)
 	case frame.Beat != nil:
@@ -211,7 +198,7 @@
 		n.stale = time.Now()
 	}
 	if time.Since(n.stale) >= StaleLimit {
-		return fmt.Errorf("%w: controller has no majority", ErrSession)
+		return errStale
 	}
 	return nil
 }
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -19,10 +19,6 @@
 )
 
 const (
-	// BeatInterval is the time between two beats on a session.
-	BeatInterval = 2 * time.Second
-	// SilenceLimit is the time without a frame after which a session is closed.
-	SilenceLimit = 6 * time.Second
 	// StaleLimit is how long a controller may lack a majority before the daemon tries another.
 	StaleLimit = 6 * time.Second
 	// AnswerLimit is the time after which an unanswered request makes a session without any other frame suspect.
@@ -33,16 +29,15 @@
 	// roundPause bounds the jitter between two controllers of one round.
 	roundPause = 100 * time.Millisecond
 	// dialTimeout lets a daemon find a controller within the 14 s for a change when the VM of its own has died, which
-	// takes SilenceLimit to notice, and 8 further ones of 12 with it; with more no majority is left.
-	dialTimeout  = 700 * time.Millisecond
-	writeTimeout = 5 * time.Second
+	// takes framer.SilenceLimit to notice, and 8 further ones of 12 with it; with more no majority is left.
+	dialTimeout = 700 * time.Millisecond
 )
 
 // Errors of this layer.
 var (
 	ErrDisconnected = errors.New("no session to a controller")
 	ErrRefused      = errors.New("controller refused the request")
-	ErrSession      = errors.New("session failed")
+	ErrSession      = errors.New("session ended")
 	ErrRejected     = errors.New("update rejected")
 	ErrStore        = errors.New("snapshot store failed")
 )
--- a/daemon/subscriber/subscriber_test.go
+++ b/daemon/subscriber/subscriber_test.go
@@ -18,6 +18,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/framer"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/subscriber"
 )
@@ -332,7 +333,7 @@
 			}()
 			for {
 				select {
-				case <-time.After(subscriber.BeatInterval):
+				case <-time.After(framer.BeatInterval):
 					p.send(wire.Frame{Beat: &wire.Beat{Version: 5}})
 				case <-ended:
 					return
