Let an upstream tell the start of its process

Cause: an upstream that crashed and announced itself again at the same address within 15 s looked like a plain repeat and got full load cold. Change: the announcement may carry the start of the process; a new one begins slow start at the router and a cold limit at the limiter. Measured: the new case of TestSince fails without the comparison.

--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -513,6 +513,9 @@
 
 	// Calls it takes at once.
 	Slots int `json:"slots"`
+
+	// Start of its process, in milliseconds since the Unix epoch; 0 if not told.
+	Start int64 `json:"start"`
 }
 
 // Verdict is the answer to a claim.
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -54,12 +54,11 @@
 	var m wire.Member
 	change(&m)
 	if m.Ready {
-		if !d.ready.Load() {
-			d.limiter.Resize(0) // an upstream that returns starts cold
+		if d.since.Swap(m.Since) != m.Since {
+			d.limiter.Resize(0) // a new or restarted upstream starts cold
 		}
 		d.limiter.Resize(d.slots(m.Slots))
 	}
-	d.ready.Store(m.Ready)
 	d.gossiper.Update(change)
 }
 
--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -121,7 +121,7 @@
 	if a.current != nil && *a.current == u {
 		return nil
 	}
-	if a.current == nil || a.current.Address != u.Address || a.current.Service != u.Service {
+	if a.current == nil || a.current.Address != u.Address || a.current.Service != u.Service || a.current.Start != u.Start {
 		// A clock that steps back must still give a new start.
 		a.since = max(now.UnixMilli(), a.since+1)
 	}
--- a/daemon/announcer/announcer_test.go
+++ b/daemon/announcer/announcer_test.go
@@ -117,6 +117,7 @@
 		{"after a lapse", valid, 16 * time.Second, true},
 		{"address", strings.Replace(valid, "9000", "9001", 1), time.Second, true},
 		{"service", strings.Replace(valid, "payout", "seller", 1), time.Second, true},
+		{"restart between two repeats", strings.Replace(valid, "{", `{"start": 7, `, 1), time.Second, true},
 		{"slots", strings.Replace(valid, "20", "10", 1), time.Second, false},
 	}
 	for _, c := range cases {
--- a/daemon/announcer/api.go
+++ b/daemon/announcer/api.go
@@ -33,6 +33,7 @@
 	Address string `json:"address"`
 	Slots   int    `json:"slots"`
 	Conns   int    `json:"conns"`
+	Start   int64  `json:"start"` // optional
 }
 
 type status struct {
@@ -78,7 +79,7 @@
 	if !ok {
 		return c.JSON(http.StatusNotFound, failure{"no upstream is announced"})
 	}
-	return c.JSON(http.StatusOK, status{announcement{u.Service, u.Address.String(), u.Slots, u.Conns}, since})
+	return c.JSON(http.StatusOK, status{announcement{u.Service, u.Address.String(), u.Slots, u.Conns, u.Start}, since})
 }
 
 // parse decodes and checks an announcement.
@@ -103,8 +104,10 @@
 		return wire.Upstream{}, fmt.Errorf("%w: slots %d must be from 1 to %d", ErrInvalid, in.Slots, maxSlots)
 	case in.Conns < 1 || in.Conns > maxConns:
 		return wire.Upstream{}, fmt.Errorf("%w: conns %d must be from 1 to %d", ErrInvalid, in.Conns, maxConns)
+	case in.Start < 0:
+		return wire.Upstream{}, fmt.Errorf("%w: start %d must be milliseconds since the Unix epoch", ErrInvalid, in.Start)
 	}
-	return wire.Upstream{Service: in.Service, Address: addr, Slots: in.Slots, Conns: in.Conns}, nil
+	return wire.Upstream{Service: in.Service, Address: addr, Slots: in.Slots, Conns: in.Conns, Start: in.Start}, nil
 }
 
 // decodeError names the field where the decoder does.
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -49,7 +49,7 @@
 	limiter    *limiter.Limiter
 	router     *router.Router
 	forwarder  *forwarder.Forwarder
-	ready      atomic.Bool
+	since      atomic.Int64 // start of the local upstream, as announced
 }
 
 // listeners are the open ports of a daemon.
--- a/standin/main.go
+++ b/standin/main.go
@@ -69,7 +69,9 @@
 	server := newServer(cfg, log, records, bound)
 	announce := announcer.New(
 		announcer.WithDaemon(cfg.daemonAddr),
-		announcer.WithUpstream(wire.Upstream{Service: cfg.service, Address: bound, Slots: cfg.slots, Conns: cfg.conns}),
+		announcer.WithUpstream(wire.Upstream{
+			Service: cfg.service, Address: bound, Slots: cfg.slots, Conns: cfg.conns, Start: time.Now().UnixMilli(),
+		}),
 		announcer.WithLeave(cfg.leave),
 		announcer.WithLogger(log),
 	)
