--- a/daemon/subscriber/request.go
+++ b/daemon/subscriber/request.go
@@ -12,20 +12,20 @@
 //
 // After ErrDisconnected or the end of ctx the request may or may not have been carried out.
 func (s *Subscriber) Request(ctx context.Context, frame wire.Frame) (wire.Verdict, error) {
-	n := s.session.Load()
-	if n == nil {
+	c := s.session.Load()
+	if c == nil {
 		return wire.Verdict{}, ErrDisconnected
 	}
-	id, answer, err := n.register()
+	id, answer, err := c.register()
 	if err != nil {
 		return wire.Verdict{}, err
 	}
-	defer n.forget(id)
+	defer c.forget(id)
 	frame.ID = id
 	start := time.Now()
 	select {
-	case n.outgoing <- frame:
-	case <-n.ctx.Done():
+	case c.outgoing <- frame:
+	case <-c.ctx.Done():
 		return wire.Verdict{}, ErrDisconnected
 	case <-ctx.Done():
 		return wire.Verdict{}, ctx.Err()
@@ -34,16 +34,16 @@
 	case reply, ok := <-answer:
 		return verdict(reply, ok)
 	case <-ctx.Done():
-		n.suspect(start)
+		c.suspect(start)
 		return wire.Verdict{}, ctx.Err()
 	}
 }
 
 // suspect ends the session if nothing arrived on it since a request that was not answered within AnswerLimit. A
 // controller answers sooner even when it has no leader, so it is frozen or the connection is silent.
-func (n *session) suspect(start time.Time) {
-	if time.Since(start) >= AnswerLimit && n.received.Load() < start.UnixNano() {
-		n.cancel()
+func (c *session) suspect(start time.Time) {
+	if time.Since(start) >= AnswerLimit && c.received.Load() < start.UnixNano() {
+		c.cancel()
 	}
 }
 
@@ -58,20 +58,20 @@
 }
 
 // register returns a number for a request and the channel for its answer.
-func (n *session) register() (uint64, chan wire.Frame, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.ended {
+func (c *session) register() (uint64, chan wire.Frame, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
 		return 0, nil, ErrDisconnected
 	}
-	n.last++
+	c.last++
 	answer := make(chan wire.Frame, 1)
-	n.pending[n.last] = answer
-	return n.last, answer, nil
+	c.pending[c.last] = answer
+	return c.last, answer, nil
 }
 
-func (n *session) forget(id uint64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.pending, id)
+func (c *session) forget(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, id)
 }
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -48,66 +48,66 @@
 }
 
 // connect runs one session and reports whether the controller answered.
-func (s *Subscriber) connect(ctx context.Context, c Controller) (bool, error) {
+func (s *Subscriber) connect(ctx context.Context, to Controller) (bool, error) {
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
 	defer cancelDial()
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return s.dial(ctx, c.Addr)
+		return s.dial(ctx, to.Addr)
 	}}
 	defer transport.CloseIdleConnections()
 	opts := &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}}
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+c.Addr.String()+"/v1/session", opts)
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+to.Addr.String()+"/v1/session", opts)
 	if err != nil {
 		return false, fmt.Errorf("%w: %v", ErrSession, err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n := &session{s: s, ctx: ctx, cancel: cancel, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
-	n.conn = framer.New(conn, framer.WithLimit(encoder.MaxMessage), framer.WithCounters(n.sent, n.got))
-	s.log.Info("connected", "controller", c.Addr)
-	established, err := n.run()
+	c := &session{s: s, ctx: ctx, cancel: cancel, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
+	c.conn = framer.New(conn, framer.WithLimit(encoder.MaxMessage), framer.WithCounters(c.sent, c.got))
+	s.log.Info("connected", "controller", to.Addr)
+	established, err := c.run()
 	return established, fmt.Errorf("%w: %w", ErrSession, err)
 }
 
-func (n *session) run() (bool, error) {
-	n.s.session.Store(n)
-	defer n.end()
-	defer n.s.session.CompareAndSwap(n, nil)
+func (c *session) run() (bool, error) {
+	c.s.session.Store(c)
+	defer c.end()
+	defer c.s.session.CompareAndSwap(c, nil)
 	writer := make(chan error, 1)
 	go func() {
-		writer <- n.write(n.ctx)
-		n.cancel() // ends the reader, which may wait for the writer
+		writer <- c.write(c.ctx)
+		c.cancel() // ends the reader, which may wait for the writer
 	}()
-	established, err := n.read(n.ctx)
-	n.cancel()
-	n.conn.Close()
+	established, err := c.read(c.ctx)
+	c.cancel()
+	c.conn.Close()
 	return established, errors.Join(err, <-writer)
 }
 
-func (n *session) sent(bytes int) {
+func (c *session) sent(bytes int) {
 	bytesOut.Add(bytes)
 }
 
-func (n *session) got(bytes int) {
+func (c *session) got(bytes int) {
 	bytesIn.Add(bytes)
-	n.received.Store(time.Now().UnixNano())
+	c.received.Store(time.Now().UnixNano())
 }
 
 // end fails all requests that wait for an answer.
-func (n *session) end() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.ended = true
-	for id, answer := range n.pending {
+func (c *session) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	for id, answer := range c.pending {
 		close(answer)
-		delete(n.pending, id)
+		delete(c.pending, id)
 	}
 }
 
 // hello returns the message that asks for everything newer than the held snapshot.
-func (n *session) hello(full bool) wire.Frame {
-	hello := &wire.Hello{Name: n.s.name, Domain: n.s.domain, Batch: n.s.batch, Full: full}
-	if held := n.s.Held(); held != nil {
+func (c *session) hello(full bool) wire.Frame {
+	hello := &wire.Hello{Name: c.s.name, Domain: c.s.domain, Batch: c.s.batch, Full: full}
+	if held := c.s.Held(); held != nil {
 		hello.Held, hello.Sum = held.Version(), held.Sum()
 	} else {
 		hello.Barrier = true
@@ -115,8 +115,8 @@
 	return wire.Frame{Hello: hello}
 }
 
-func (n *session) write(ctx context.Context) error {
-	if err := n.conn.Send(ctx, n.hello(false)); err != nil {
+func (c *session) write(ctx context.Context) error {
+	if err := c.conn.Send(ctx, c.hello(false)); err != nil {
 		return err
 	}
 	beats := time.NewTicker(framer.BeatInterval)
@@ -124,23 +124,23 @@
 	for {
 		var frame wire.Frame
 		select {
-		case frame = <-n.outgoing:
+		case frame = <-c.outgoing:
 		case <-beats.C:
 			frame = wire.Frame{Beat: &wire.Beat{}}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if err := n.conn.Send(ctx, frame); err != nil {
+		if err := c.conn.Send(ctx, frame); err != nil {
 			return err
 		}
 	}
 }
 
 // read handles the controller's frames and reports whether there was any.
-func (n *session) read(ctx context.Context) (bool, error) {
+func (c *session) read(ctx context.Context) (bool, error) {
 	established := false
 	for {
-		frame, err := n.conn.Receive(ctx)
+		frame, err := c.conn.Receive(ctx)
 		if err != nil {
 			return established, err
 		}
@@ -148,75 +148,75 @@
 			return established, fmt.Errorf("%w: %s", ErrRefused, frame.Error)
 		}
 		established = true
-		if err := n.handle(ctx, frame); err != nil {
+		if err := c.handle(ctx, frame); err != nil {
 			return established, err
 		}
 	}
 }
 
-func (n *session) handle(ctx context.Context, frame wire.Frame) error {
+func (c *session) handle(ctx context.Context, frame wire.Frame) error {
 	switch {
 	case frame.Bye:
 		return errStopping
 	case frame.Full != nil, frame.Delta != nil:
-		return n.take(ctx, frame)
+		return c.take(ctx, frame)
 	case frame.Beat != nil:
-		return n.beat(ctx, *frame.Beat)
+		return c.beat(ctx, *frame.Beat)
 	case frame.ID != 0:
-		n.deliver(frame)
+		c.deliver(frame)
 	}
 	return nil
 }
 
 // take applies an update. After a rejected delta it asks for a full snapshot.
-func (n *session) take(ctx context.Context, frame wire.Frame) error {
-	err := n.s.take(frame)
+func (c *session) take(ctx context.Context, frame wire.Frame) error {
+	err := c.s.take(frame)
 	if errors.Is(err, ErrRejected) {
-		n.s.log.Warn("update rejected", "error", err)
+		c.s.log.Warn("update rejected", "error", err)
 		if frame.Full != nil {
 			return err
 		}
-		return n.enqueue(ctx, n.hello(true))
+		return c.enqueue(ctx, c.hello(true))
 	}
 	if err != nil {
 		return err
 	}
-	held := n.s.Held()
-	return n.enqueue(ctx, wire.Frame{Ack: &wire.Ack{Version: held.Version(), Sum: held.Sum()}})
+	held := c.s.Held()
+	return c.enqueue(ctx, wire.Frame{Ack: &wire.Ack{Version: held.Version(), Sum: held.Sum()}})
 }
 
 // beat leaves a controller that has lacked a majority for StaleLimit.
-func (n *session) beat(ctx context.Context, beat wire.Beat) error {
-	if held := n.s.Held(); held != nil && beat.Version > held.Version() {
-		return n.enqueue(ctx, n.hello(true))
+func (c *session) beat(ctx context.Context, beat wire.Beat) error {
+	if held := c.s.Held(); held != nil && beat.Version > held.Version() {
+		return c.enqueue(ctx, c.hello(true))
 	}
 	if beat.Fresh {
-		n.stale = time.Time{}
+		c.stale = time.Time{}
 		return nil
 	}
-	if n.stale.IsZero() {
-		n.stale = time.Now()
+	if c.stale.IsZero() {
+		c.stale = time.Now()
 	}
-	if time.Since(n.stale) >= StaleLimit {
+	if time.Since(c.stale) >= StaleLimit {
 		return errStale
 	}
 	return nil
 }
 
-func (n *session) enqueue(ctx context.Context, frame wire.Frame) error {
+func (c *session) enqueue(ctx context.Context, frame wire.Frame) error {
 	select {
-	case n.outgoing <- frame:
+	case c.outgoing <- frame:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-func (n *session) deliver(frame wire.Frame) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if answer, ok := n.pending[frame.ID]; ok {
+func (c *session) deliver(frame wire.Frame) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answer, ok := c.pending[frame.ID]; ok {
 		answer <- frame
-		delete(n.pending, frame.ID)
+		delete(c.pending, frame.ID)
 	}
 }
