Give batches routes and revisions, found a cluster without hands, replace lost disks at once

A new identity at the address of an old one proves that the data folder of the old one is gone, so the wait falls from 10 s to 1 s of silence. The shorter wait showed two faults in the simulation: a delayed request to join admitted a replaced identity again, which then displaced the live one or stayed as a learner for good. A learner now takes a seat only after it answered a round that began after its admission, and a silent learner with a rival is removed.

--- a/controller/registrar/change.go
+++ b/controller/registrar/change.go
@@ -62,7 +62,11 @@
 	if e.Drop && (!exists || len(old.Services) == 0 && old.Lapsed) {
 		return wire.Result{Code: presenter.CodeMissing, Error: fmt.Sprintf("batch %q does not exist", e.Name)}
 	}
-	if e.Base != old.Version {
+	if e.Revision != 0 {
+		if result := checkRevision(e, old); result.Code != "" {
+			return result
+		}
+	} else if e.Base != old.Version {
 		return wire.Result{
 			Code:    presenter.CodeConflict,
 			Version: old.Version,
@@ -78,12 +82,33 @@
 	if err := compiler.Check(e.Name, e.Services); err != nil {
 		return invalid(err)
 	}
+	if err := compiler.CheckRoutes(e.Name, e.Routes, e.Services); err != nil {
+		return invalid(err)
+	}
+	return wire.Result{}
+}
+
+// checkRevision compares the operator's own version numbers. A revision must grow, so that two changes never share one.
+func checkRevision(e wire.Edit, old wire.Batch) wire.Result {
+	if e.Before != old.Revision {
+		return wire.Result{
+			Code:    presenter.CodeConflict,
+			Version: old.Version,
+			Error:   fmt.Sprintf("batch %q is at revision %d, the change is based on %d", e.Name, old.Revision, e.Before),
+		}
+	}
+	if e.Revision <= old.Revision {
+		return invalid(fmt.Errorf("batch %q: revision %d is not above %d", e.Name, e.Revision, old.Revision))
+	}
 	return wire.Result{}
 }
 
 // edited returns the batch after e. Services that stay equal keep the version of their last change.
 func edited(e wire.Edit, old wire.Batch, version uint64) wire.Batch {
-	batch := wire.Batch{Name: e.Name, Version: version, Until: e.Until, Services: []wire.Service{}}
+	batch := wire.Batch{
+		Name: e.Name, Version: version, Until: e.Until, Services: []wire.Service{},
+		Bounds: e.Bounds, Revision: e.Revision, Source: e.Source,
+	}
 	if e.Drop {
 		batch.Lapsed = true
 		batch.Until = old.Until
@@ -100,14 +125,32 @@
 		}
 		batch.Services = append(batch.Services, s)
 	}
+	batch.Routes = editedRoutes(e.Routes, old.Routes, version)
 	return batch
 }
 
+// editedRoutes returns the routes of an edit. Those that stay equal keep the version of their last change.
+func editedRoutes(routes, old []wire.Route, version uint64) []wire.Route {
+	before := make(map[string]wire.Route, len(old))
+	for _, r := range old {
+		before[r.Name] = r
+	}
+	next := make([]wire.Route, 0, len(routes))
+	for _, r := range routes {
+		r.Mod = version
+		if b, ok := before[r.Name]; ok && compiler.SameRoute(b, r) {
+			r.Mod = b.Mod
+		}
+		next = append(next, r)
+	}
+	return next
+}
+
 func sameService(a, b wire.Service) bool {
-	return a.Name == b.Name && slices.Equal(a.Needs, b.Needs) && a.Class == b.Class && a.Once == b.Once && a.Limit == b.Limit
+	return a.Name == b.Name && slices.Equal(a.Needs, b.Needs) && a.Class == b.Class && a.Once == b.Once && a.Limit == b.Limit && a.Conns == b.Conns
 }
 
-// removals lists the services of old that next lacks.
+// removals lists the services and routes of old that next lacks.
 func removals(old, next wire.Batch) []wire.Grave {
 	kept := make(map[string]bool, len(next.Services))
 	for _, s := range next.Services {
@@ -119,6 +162,15 @@
 			graves = append(graves, wire.Grave{Batch: old.Name, Service: s.Name, Version: next.Version})
 		}
 	}
+	routes := make(map[string]bool, len(next.Routes))
+	for _, r := range next.Routes {
+		routes[r.Name] = true
+	}
+	for _, r := range old.Routes {
+		if !routes[r.Name] {
+			graves = append(graves, wire.Grave{Batch: old.Name, Route: r.Name, Version: next.Version})
+		}
+	}
 	return graves
 }
 
--- a/controller/registrar/view.go
+++ b/controller/registrar/view.go
@@ -18,8 +18,10 @@
 }
 
 type viewed struct {
-	batch wire.Batch
+	batch wire.Batch // without the source
 	sum   uint64
+	// source is the operator's own text, compressed.
+	source []byte
 }
 
 func newView(r *Registrar, old *View) *View {
@@ -36,7 +38,9 @@
 		}
 		// Sum fails only on types that cannot be encoded, and a batch has none.
 		sum, _ := compiler.Sum(batch)
-		v.batches[name] = viewed{batch, sum}
+		source := batch.Source
+		batch.Source = nil
+		v.batches[name] = viewed{batch, sum, source}
 	}
 	return v
 }
@@ -57,6 +61,11 @@
 	return b.batch, ok
 }
 
+// Source returns the operator's own text of a batch as it was given with the edit, or nil.
+func (v *View) Source(name string) []byte {
+	return v.batches[name].source
+}
+
 // Batches returns all batches in order of name.
 func (v *View) Batches() []wire.Batch {
 	all := make([]wire.Batch, 0, len(v.batches))
@@ -76,19 +85,31 @@
 	if full || held == 0 || held+Horizon < v.version {
 		return wire.Frame{Full: &wire.Full{Sum: b.sum, Batch: b.batch}}, true
 	}
-	delta := &wire.Delta{From: held, Version: b.batch.Version, Sum: b.sum, Until: b.batch.Until, Lapsed: b.batch.Lapsed}
+	delta := &wire.Delta{From: held, Version: b.batch.Version, Sum: b.sum, Until: b.batch.Until, Lapsed: b.batch.Lapsed,
+		Bounds: b.batch.Bounds, Revision: b.batch.Revision}
 	for _, s := range b.batch.Services {
 		if s.Mod > held {
 			delta.Put = append(delta.Put, s)
 		}
 	}
+	for _, r := range b.batch.Routes {
+		if r.Mod > held {
+			delta.Routes = append(delta.Routes, r)
+		}
+	}
 	for _, g := range v.graves {
-		if g.Batch == name && g.Version > held && !has(b.batch, g.Service) {
+		switch {
+		case g.Batch != name || g.Version <= held:
+		case g.Route != "" && !hasRoute(b.batch, g.Route):
+			delta.Cut = append(delta.Cut, g.Route)
+		case g.Route == "" && !has(b.batch, g.Service):
 			delta.Drop = append(delta.Drop, g.Service)
 		}
 	}
 	slices.Sort(delta.Drop)
 	delta.Drop = slices.Compact(delta.Drop)
+	slices.Sort(delta.Cut)
+	delta.Cut = slices.Compact(delta.Cut)
 	return wire.Frame{Delta: delta}, true
 }
 
@@ -110,6 +131,13 @@
 	return found
 }
 
+func hasRoute(batch wire.Batch, route string) bool {
+	_, found := slices.BinarySearchFunc(batch.Routes, route, func(r wire.Route, name string) int {
+		return cmp.Compare(r.Name, name)
+	})
+	return found
+}
+
 func sortedBatches(batches map[string]wire.Batch) []wire.Batch {
 	all := make([]wire.Batch, 0, len(batches))
 	for _, b := range batches {
@@ -124,5 +152,5 @@
 }
 
 func compareGraves(a, b wire.Grave) int {
-	return cmp.Or(cmp.Compare(a.Batch, b.Batch), cmp.Compare(a.Service, b.Service))
+	return cmp.Or(cmp.Compare(a.Batch, b.Batch), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Route, b.Route))
 }
--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -18,6 +18,7 @@
 	heartbeatTicks = 3   // 150 ms
 	electionTicks  = 20  // the election timeout is 1 to 2 times this: 1-2 s
 	silentTicks    = 200 // 10 s until a lost identity is replaced
+	seatTicks      = 50  // 2.5 s until a waiting learner takes the seat of a silent voter
 	joinTicks      = 20
 	graceTicks     = 10 // 500 ms for the answer of a leader that was replaced
 	answerTicks    = 60 // longer than the longest election timeout, after which a cut-off leader has stepped down
@@ -73,6 +74,7 @@
 	self    wire.Node // voter tells the settings
 	cluster string
 	seeds   []netip.AddrPort
+	seats   int // most voters; 0 for no limit
 	rand    *rand.Rand
 	log     *raftLog
 	booted  uint64 // tick at start; random, so that clocks of an earlier run are not taken for this one's
@@ -81,6 +83,7 @@
 	fault   error // broken invariant; the node must stop
 
 	role      role
+	won       uint64 // elections won since the start
 	term      uint64
 	vote      string
 	hardDirty bool
--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -18,6 +18,8 @@
 	commit  uint64    // commit index last sent
 	active  uint64    // tick of the last answer
 	seq     uint64    // last round answered
+	joined  uint64    // last round before this leader knew the node
+	proved  bool      // a later round was answered, so the identity is in use and no delayed packet speaks for it
 	clock   uint64    // clock in the last answer
 	part    *wire.Checkpoint
 	offset  int    // bytes of part received there
@@ -31,6 +33,7 @@
 
 func (c *core) becomeLeader() {
 	c.role, c.lead = leader, c.self
+	c.won++
 	c.resetElection()
 	c.peers = map[string]*peer{}
 	c.rounds, c.leadRead, c.target = nil, nil, ""
@@ -69,7 +72,7 @@
 		}
 		p := old[n.ID]
 		if p == nil {
-			p = &peer{next: c.log.last() + 1, probing: true, active: c.tick}
+			p = &peer{next: c.log.last() + 1, probing: true, active: c.tick, joined: c.seq}
 		}
 		p.node = n
 		c.peers[n.ID] = p
@@ -203,6 +206,7 @@
 	if p == nil || m.Seq > c.seq {
 		return nil
 	}
+	p.proved = p.proved || m.Seq > p.joined
 	p.active, p.wish, p.clock, p.seq = c.tick, m.From.Voter, m.Clock, max(p.seq, m.Seq)
 	c.confirm()
 	return p
--- a/controller/replicator/members.go
+++ b/controller/replicator/members.go
@@ -22,13 +22,7 @@
 
 // quorum returns the size of a majority of the voters.
 func (c *core) quorum() int {
-	voters := 0
-	for _, n := range c.log.nodes {
-		if n.Voter {
-			voters++
-		}
-	}
-	return voters/2 + 1
+	return c.voters()/2 + 1
 }
 
 // mayChange allows one membership change at a time, and none before an entry of the own term is committed: majorities of
@@ -109,24 +103,51 @@
 	if !c.mayChange() {
 		return
 	}
+	if stale, ok := c.staleLearner(); ok {
+		c.removeNode(stale.ID)
+		return
+	}
 	for _, n := range c.log.nodes {
 		p := c.peers[n.ID]
-		if p == nil || n.Voter || !c.active(p) || p.match+caughtUp < c.log.last() {
+		if p == nil || n.Voter || !p.proved || !c.active(p) || p.match+caughtUp < c.log.last() {
 			continue
 		}
 		if rival, ok := c.rival(n); ok {
-			if c.removable(rival) {
+			if c.removable(rival, c.silence(n, rival)) {
 				c.removeNode(rival.ID)
 				return
 			}
 			continue
 		}
-		if p.wish {
-			n.Voter = true
-			c.setNode(n)
-			return
+		if !p.wish {
+			continue
+		}
+		if c.seats > 0 && c.voters() >= c.seats {
+			if lost, ok := c.lostVoter(); ok {
+				c.removeNode(lost.ID)
+				return
+			}
+			continue
+		}
+		n.Voter = true
+		c.setNode(n)
+		return
+	}
+}
+
+// staleLearner returns a silent learner whose name another node has. A request to join that was delayed can admit an
+// identity again after its replacement.
+func (c *core) staleLearner() (wire.Node, bool) {
+	for _, n := range c.log.nodes {
+		p := c.peers[n.ID]
+		if p == nil || n.Voter || c.tick-p.active < silentTicks {
+			continue
+		}
+		if other, ok := c.rival(n); ok && (other.ID == c.self.ID || c.active(c.peers[other.ID])) {
+			return n, true
 		}
 	}
+	return wire.Node{}, false
 }
 
 // rival returns another identity with the same name.
@@ -139,10 +160,39 @@
 	return wire.Node{}, false
 }
 
+// silence returns after how many silent ticks a rival is removed. A new identity at its address proves that the data
+// folder of the old one is gone.
+func (c *core) silence(node, rival wire.Node) uint64 {
+	if node.Addr == rival.Addr {
+		return electionTicks
+	}
+	return silentTicks
+}
+
+// lostVoter returns a voter that was silent for so long that a waiting learner takes its seat.
+func (c *core) lostVoter() (wire.Node, bool) {
+	for _, n := range c.log.nodes {
+		if n.Voter && n.ID != c.self.ID && c.removable(n, seatTicks) {
+			return n, true
+		}
+	}
+	return wire.Node{}, false
+}
+
+func (c *core) voters() int {
+	voters := 0
+	for _, n := range c.log.nodes {
+		if n.Voter {
+			voters++
+		}
+	}
+	return voters
+}
+
 // removable reports whether a node has been silent long enough and the voters that remain have an active majority.
-func (c *core) removable(node wire.Node) bool {
+func (c *core) removable(node wire.Node, silence uint64) bool {
 	p := c.peers[node.ID]
-	if p == nil || c.tick-p.active < silentTicks {
+	if p == nil || c.tick-p.active < silence {
 		return false
 	}
 	voters, live := 0, 0
--- a/controller/replicator/options.go
+++ b/controller/replicator/options.go
@@ -28,6 +28,11 @@
 	return func(r *Replicator) { r.seeds = seeds }
 }
 
+// WithSeats limits the number of voters. Further nodes wait as learners until a voter is lost.
+func WithSeats(seats int) Option {
+	return func(r *Replicator) { r.seats = seats }
+}
+
 // WithSend sets the function that sends a packet. It must not block and may lose packets.
 func WithSend(send func(to netip.AddrPort, p wire.Packet)) Option {
 	return func(r *Replicator) { r.send = send }
--- a/controller/replicator/replicator.go
+++ b/controller/replicator/replicator.go
@@ -21,7 +21,7 @@
 
 const (
 	inboxSize   = 1024    // packets that wait; more are dropped, as on a lossy network
-	maxCommand  = 1 << 20 // bytes of one encoded command
+	maxCommand  = 8 << 20 // bytes of one encoded command before compression
 	maxPerStep  = 1024    // proposals and reads that share one sync
 	packetsStep = 64      // packets that share one sync
 )
@@ -31,6 +31,7 @@
 	store   *storer.Storer
 	self    wire.Node
 	seeds   []netip.AddrPort
+	seats   int
 	send    func(netip.AddrPort, wire.Packet)
 	apply   func(uint64, wire.Command) wire.Result
 	save    func() ([]byte, error)
@@ -68,6 +69,7 @@
 	identity := r.store.Identity()
 	r.self.ID = identity.ID
 	r.core = newCore(r.self, identity.Cluster, r.store.State(), r.seeds, r.rand)
+	r.core.seats = r.seats
 	// Request numbers start at random, so that a late answer to a request from before a restart matches none.
 	r.nextID = r.rand.Uint64()
 	r.publish()
@@ -217,8 +219,8 @@
 	if len(item.Data) == 0 {
 		return nil
 	}
-	var cmd wire.Command
-	if err := encoder.Unmarshal(item.Data, &cmd); err != nil {
+	cmd, err := decodeCommand(item.Data)
+	if err != nil {
 		return fmt.Errorf("%w: entry %d: %w", ErrFault, item.Index, err)
 	}
 	result := r.apply(item.Index, cmd)
--- a/controller/replicator/request.go
+++ b/controller/replicator/request.go
@@ -29,12 +29,9 @@
 // ErrUnknown means that the command may be committed now or later: the caller may repeat it, since commands are
 // idempotent by their ids. Without a leader Propose waits until the context ends.
 func (r *Replicator) Propose(ctx context.Context, cmd wire.Command) (wire.Result, error) {
-	data, err := encoder.Marshal(cmd)
+	cmd, err := packCommand(cmd)
 	if err != nil {
-		return wire.Result{}, fmt.Errorf("%w: %w", ErrFault, err)
-	}
-	if len(data) > maxCommand {
-		return wire.Result{}, fmt.Errorf("%w: %d bytes, limit %d", ErrTooLarge, len(data), maxCommand)
+		return wire.Result{}, err
 	}
 	a, err := r.call(&request{kind: requestPropose, ctx: ctx, cmd: cmd})
 	if err != nil {
--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -27,6 +27,7 @@
 	period  int // steps per tick; differs between nodes if their clocks do
 	booted  int // step of the last start
 	led     bool
+	won     uint64
 }
 
 type flight struct {
@@ -100,6 +101,7 @@
 	st := n.disk
 	st.Entries = slices.Clone(st.Entries)
 	n.core = newCore(n.self, n.cluster, st, []netip.AddrPort{simAddr(0), simAddr(1)}, rand.New(rand.NewPCG(s.rand.Uint64(), 1)))
+	n.won = 0
 	n.reads, n.digest, n.booted, n.period = map[uint64]uint64{}, 0, s.now, stepsPerTick
 	if s.skew {
 		n.period = 2 + s.rand.IntN(10)
@@ -218,6 +220,7 @@
 func (s *sim) handle(i int, out output) bool {
 	n := s.nodes[i]
 	s.checkFresh(n)
+	s.noteVoters(n) // a leader may send a promotion and crash before its next check
 	s.sendAll(i, out.early)
 	if s.crashes(n) {
 		return false
@@ -350,8 +353,8 @@
 
 // checkFresh guards against a cut-off node that counts as fresh because of a packet that was delayed.
 func (s *sim) checkFresh(n *simNode) {
-	c, led := n.core, n.led
-	n.led = c.role == leader
+	c, led := n.core, n.led || n.core.won != n.won // a node may win and step down within one step
+	n.led, n.won = c.role == leader, n.core.won
 	fresh := n.booted + int(c.fresh-c.booted)*stepsPerTick
 	switch {
 	case s.skew || !c.everFresh:
@@ -374,12 +377,18 @@
 		s.t.Fatalf("step %d: term %d has leaders %s and %s", s.now, c.term, old, n.self.ID)
 	}
 	s.leaders[c.term] = n.self.ID
-	for _, node := range c.log.nodes {
+	s.checkChanges(n)
+}
+
+func (s *sim) noteVoters(n *simNode) {
+	if n.core.role != leader {
+		return
+	}
+	for _, node := range n.core.log.nodes {
 		if node.Voter {
 			s.voters[node.ID] = true
 		}
 	}
-	s.checkChanges(n)
 }
 
 // checkChanges guards against memberships whose majorities need not intersect.
--- a/controller/storer/storer.go
+++ b/controller/storer/storer.go
@@ -8,8 +8,11 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 
 	"github.com/google/uuid"
 
@@ -92,6 +95,38 @@
 	return s.identity, nil
 }
 
+// Found makes the folder of one founder of a cluster, or does nothing if the folder holds a node already.
+//
+// Each founder lists the same addresses and is named after its own. Identities follow from the addresses, so that all
+// founders write the same first entry without a message. Found must only be called on the first start of the cluster:
+// the identity of a founder whose disk was lost must never be used again.
+func Found(folder string, self netip.AddrPort, founders []netip.AddrPort) error {
+	s, err := lock(folder)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for _, name := range []string{identityFile, logFile, checkpointFile} {
+		if _, err := os.Stat(filepath.Join(folder, name)); !errors.Is(err, fs.ErrNotExist) {
+			return nil
+		}
+	}
+	sorted := slices.SortedFunc(slices.Values(founders), netip.AddrPort.Compare)
+	var nodes []wire.Node
+	names := make([]string, 0, len(sorted))
+	for _, addr := range sorted {
+		names = append(names, addr.String())
+		nodes = append(nodes, wire.Node{ID: founderID(addr), Name: addr.String(), Addr: addr, Voter: true})
+	}
+	first := wire.Entry{Index: 1, Term: 1, Nodes: nodes}
+	cluster := uuid.NewSHA1(uuid.Nil, []byte(strings.Join(names, " "))).String()
+	return s.create(cluster, founderID(self), self.String(), wire.Record{Term: 1, Entries: []wire.Entry{first}})
+}
+
+func founderID(addr netip.AddrPort) string {
+	return uuid.NewSHA1(uuid.Nil, []byte("founder "+addr.String())).String()
+}
+
 // Identity returns the identity of the node.
 func (s *Storer) Identity() wire.Identity {
 	return s.identity
--- /dev/null
+++ b/core/compiler/routes.go
@@ -0,0 +1,111 @@
+package compiler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bluebellhoist/core/wire"
+)
+
+// MaxTimeout is the longest time that a route may set for one call.
+const MaxTimeout = 10 * time.Minute
+
+// CheckRoutes reports the first fault of the routes of a batch.
+//
+// Routes must be in order of name, and each service that they lead to must be one of services.
+func CheckRoutes(batch string, routes []wire.Route, services []wire.Service) error {
+	known := make(map[string]bool, len(services))
+	for _, s := range services {
+		known[s.Name] = true
+	}
+	places := make(map[[2]string]string, len(routes))
+	for i, r := range routes {
+		if i > 0 && routes[i-1].Name >= r.Name {
+			return fmt.Errorf("%w: batch %q: route %q is out of order or doubled", ErrInvalid, batch, r.Name)
+		}
+		if err := checkRoute(r, known); err != nil {
+			return fmt.Errorf("%w: batch %q: route %q: %v", ErrInvalid, batch, r.Name, err)
+		}
+		place := [2]string{strings.ToLower(r.Host), r.Prefix}
+		if other, ok := places[place]; ok {
+			return fmt.Errorf("%w: batch %q: routes %q and %q have the same host and prefix", ErrInvalid, batch, other, r.Name)
+		}
+		places[place] = r.Name
+	}
+	return nil
+}
+
+func checkRoute(r wire.Route, known map[string]bool) error {
+	switch {
+	case r.Name == "":
+		return fmt.Errorf("name is empty")
+	case r.Host == "":
+		return fmt.Errorf("host is empty")
+	case !strings.HasPrefix(r.Prefix, "/"):
+		return fmt.Errorf("prefix %q does not begin with a slash", r.Prefix)
+	case r.Timeout < 0 || r.Timeout > MaxTimeout:
+		return fmt.Errorf("timeout %v is not between 0 and %v", r.Timeout, MaxTimeout)
+	case r.Target < 0:
+		return fmt.Errorf("target %v is negative", r.Target)
+	case r.Attempts < 1:
+		return fmt.Errorf("attempts %d is below 1", r.Attempts)
+	}
+	return checkParts(r.Parts, known)
+}
+
+func checkParts(parts []wire.Part, known map[string]bool) error {
+	total := 0
+	for _, p := range parts {
+		if !known[p.Service] {
+			return fmt.Errorf("service %q is not in the batch", p.Service)
+		}
+		if p.Weight < 0 {
+			return fmt.Errorf("weight %d of service %q is negative", p.Weight, p.Service)
+		}
+		total += p.Weight
+	}
+	if total == 0 {
+		return fmt.Errorf("no part has a weight")
+	}
+	return nil
+}
+
+// SortRoutes sorts routes by name in place and returns them.
+func SortRoutes(routes []wire.Route) []wire.Route {
+	slices.SortFunc(routes, func(a, b wire.Route) int { return cmp.Compare(a.Name, b.Name) })
+	return routes
+}
+
+// SameRoute reports whether two routes are equal but for the version of their last change.
+func SameRoute(a, b wire.Route) bool {
+	return a.Name == b.Name && a.Host == b.Host && a.Prefix == b.Prefix && a.Repeat == b.Repeat &&
+		a.Timeout == b.Timeout && a.Target == b.Target && a.Rank == b.Rank && a.Attempts == b.Attempts &&
+		slices.Equal(a.Parts, b.Parts)
+}
+
+// matcher finds the route of a call. It never changes.
+type matcher map[string][]*wire.Route // by host, longest prefix first
+
+func newMatcher(routes []wire.Route) matcher {
+	m := matcher{}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		m[host] = append(m[host], &routes[i])
+	}
+	for _, list := range m {
+		slices.SortStableFunc(list, func(a, b *wire.Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return m
+}
+
+func (m matcher) match(host, path string) (*wire.Route, bool) {
+	for _, r := range m[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- a/core/compiler/snapshot.go
+++ b/core/compiler/snapshot.go
@@ -18,6 +18,7 @@
 	batch    wire.Batch
 	sum      uint64
 	services map[string]wire.Service
+	routes   matcher
 }
 
 // Sum returns the checksum of a batch.
@@ -26,6 +27,10 @@
 	if batch.Services == nil {
 		batch.Services = []wire.Service{}
 	}
+	if len(batch.Routes) == 0 {
+		batch.Routes = nil
+	}
+	batch.Source = nil // daemons do not get it
 	data, err := encoder.Marshal(batch)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %v", ErrInvalid, err)
@@ -38,6 +43,9 @@
 	if err := Check(batch.Name, batch.Services); err != nil {
 		return nil, err
 	}
+	if err := CheckRoutes(batch.Name, batch.Routes, batch.Services); err != nil {
+		return nil, err
+	}
 	got, err := Sum(batch)
 	if err != nil {
 		return nil, err
@@ -45,7 +53,12 @@
 	if got != sum {
 		return nil, fmt.Errorf("%w: batch %q version %d: checksum %x, want %x", ErrInvalid, batch.Name, batch.Version, got, sum)
 	}
-	s := &Snapshot{batch: batch, sum: sum, services: make(map[string]wire.Service, len(batch.Services))}
+	s := &Snapshot{
+		batch:    batch,
+		sum:      sum,
+		services: make(map[string]wire.Service, len(batch.Services)),
+		routes:   newMatcher(batch.Routes),
+	}
 	for _, service := range batch.Services {
 		s.services[service.Name] = service
 	}
@@ -70,10 +83,30 @@
 		Until:    delta.Until,
 		Lapsed:   delta.Lapsed,
 		Services: Sort(slices.Collect(maps.Values(services))),
+		Routes:   mergeRoutes(s.batch.Routes, delta),
+		Bounds:   delta.Bounds,
+		Revision: delta.Revision,
 	}
 	return New(next, delta.Sum)
 }
 
+func mergeRoutes(held []wire.Route, delta wire.Delta) []wire.Route {
+	if len(delta.Cut)+len(delta.Routes) == 0 {
+		return held
+	}
+	routes := make(map[string]wire.Route, len(held)+len(delta.Routes))
+	for _, r := range held {
+		routes[r.Name] = r
+	}
+	for _, name := range delta.Cut {
+		delete(routes, name)
+	}
+	for _, r := range delta.Routes {
+		routes[r.Name] = r
+	}
+	return SortRoutes(slices.Collect(maps.Values(routes)))
+}
+
 // Sort orders services by name in place and returns them.
 func Sort(services []wire.Service) []wire.Service {
 	slices.SortFunc(services, func(a, b wire.Service) int { return cmp.Compare(a.Name, b.Name) })
@@ -105,3 +138,8 @@
 	service, ok := s.services[name]
 	return service, ok
 }
+
+// Route returns the route with the given host whose prefix is the longest that begins path.
+func (s *Snapshot) Route(host, path string) (*wire.Route, bool) {
+	return s.routes.match(host, path)
+}
--- /dev/null
+++ b/core/encoder/pack.go
@@ -0,0 +1,36 @@
+package encoder
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+)
+
+// Pack compresses data with deflate.
+func Pack(data []byte) ([]byte, error) {
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	return buf.Bytes(), nil
+}
+
+// Unpack returns what Pack compressed, up to MaxMessage bytes.
+func Unpack(packed []byte) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), MaxMessage+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	if len(data) > MaxMessage {
+		return nil, fmt.Errorf("%w: more than %d bytes unpacked", ErrTooLarge, MaxMessage)
+	}
+	return data, nil
+}
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -16,15 +16,27 @@
 
 // Batch is a group of services routed under one support contract.
 type Batch struct {
+	// Bounds corresponds to the JSON schema field "bounds".
+	Bounds *Bounds `json:"bounds,omitempty,omitzero"`
+
 	// True once the expiry is committed.
 	Lapsed bool `json:"lapsed"`
 
 	// Name of the batch.
 	Name string `json:"name"`
 
+	// Version number chosen by the operator; 0 if none is used.
+	Revision uint64 `json:"revision"`
+
+	// Routes in order of name.
+	Routes []Route `json:"routes,omitempty,omitzero"`
+
 	// Services in order of name.
 	Services []Service `json:"services"`
 
+	// The operator's own text, compressed; kept by controllers only.
+	Source []byte `json:"source"`
+
 	// Expiry of the contract, in milliseconds since the Unix epoch.
 	Until int64 `json:"until"`
 
@@ -41,6 +53,21 @@
 	Version uint64 `json:"version"`
 }
 
+// Bounds limits what a caller may send.
+type Bounds struct {
+	// Largest body in bytes.
+	Body int `json:"body"`
+
+	// Largest header in bytes.
+	Header int `json:"header"`
+
+	// Longest time without a call on a connection, in nanoseconds.
+	Idle time.Duration `json:"idle"`
+
+	// Longest time for a header, in nanoseconds.
+	Wait time.Duration `json:"wait"`
+}
+
 // Change is one atomic change by an operator.
 type Change struct {
 	// Batches replaced or dropped.
@@ -111,12 +138,21 @@
 	// Finish corresponds to the JSON schema field "finish".
 	Finish *Claim `json:"finish,omitempty,omitzero"`
 
+	// A change, encoded and compressed.
+	Packed []byte `json:"packed"`
+
 	// Release corresponds to the JSON schema field "release".
 	Release *Claim `json:"release,omitempty,omitzero"`
 }
 
 // Delta turns the snapshot at version from into the one at version.
 type Delta struct {
+	// Bounds corresponds to the JSON schema field "bounds".
+	Bounds *Bounds `json:"bounds,omitempty,omitzero"`
+
+	// Names of routes removed.
+	Cut []string `json:"cut,omitempty,omitzero"`
+
 	// Names of services removed.
 	Drop []string `json:"drop,omitempty,omitzero"`
 
@@ -129,6 +165,12 @@
 	// Services added or changed.
 	Put []Service `json:"put,omitempty,omitzero"`
 
+	// Revision that the delta leads to.
+	Revision uint64 `json:"revision"`
+
+	// Routes added or changed.
+	Routes []Route `json:"routes,omitempty,omitzero"`
+
 	// Checksum of the result.
 	Sum uint64 `json:"sum"`
 
@@ -144,15 +186,31 @@
 	// Version the operator saw; 0 for a new batch.
 	Base uint64 `json:"base"`
 
+	// Revision that the change was made from; used in place of base if a revision is
+	// set.
+	Before uint64 `json:"before"`
+
+	// Bounds corresponds to the JSON schema field "bounds".
+	Bounds *Bounds `json:"bounds,omitempty,omitzero"`
+
 	// True to remove the batch.
 	Drop bool `json:"drop"`
 
 	// Name of the batch.
 	Name string `json:"name"`
 
+	// Version number chosen by the operator; 0 if none is used.
+	Revision uint64 `json:"revision"`
+
+	// Routes in order of name.
+	Routes []Route `json:"routes,omitempty,omitzero"`
+
 	// Services in order of name.
 	Services []Service `json:"services,omitempty,omitzero"`
 
+	// The operator's own text, compressed; kept by controllers only.
+	Source []byte `json:"source"`
+
 	// Expiry of the contract, in milliseconds since the Unix epoch.
 	Until int64 `json:"until"`
 }
@@ -261,6 +319,9 @@
 	// Name of the batch.
 	Batch string `json:"batch"`
 
+	// Name of the removed route, if it is one.
+	Route string `json:"route"`
+
 	// Name of the service.
 	Service string `json:"service"`
 
@@ -309,6 +370,9 @@
 	// Address for calls and gossip.
 	Addr netip.AddrPort `json:"addr"`
 
+	// True for a controller, which has no upstream.
+	Control bool `json:"control"`
+
 	// Failure domain of the daemon.
 	Domain string `json:"domain"`
 
@@ -410,6 +474,15 @@
 	To string `json:"to"`
 }
 
+// Part is the share of a route's calls that goes to one service.
+type Part struct {
+	// Name of the service.
+	Service string `json:"service"`
+
+	// Share relative to the other parts; 0 gives it none.
+	Weight int `json:"weight"`
+}
+
 // Record is one durable write to the log.
 type Record struct {
 	// Index before the first entry of the file; used in its first record only.
@@ -443,11 +516,47 @@
 	Version uint64 `json:"version"`
 }
 
+// Route sends the calls with one host and path prefix to services.
+type Route struct {
+	// Most members that one call is sent to.
+	Attempts int `json:"attempts"`
+
+	// Host of the calls.
+	Host string `json:"host"`
+
+	// Version at which the route last changed.
+	Mod uint64 `json:"mod"`
+
+	// Name of the route.
+	Name string `json:"name"`
+
+	// Services that take the calls.
+	Parts []Part `json:"parts"`
+
+	// Begin of the paths; the longest one that fits wins.
+	Prefix string `json:"prefix"`
+
+	// Rank of the calls; 0 is the most urgent.
+	Rank int `json:"rank"`
+
+	// True if a call may run more than once.
+	Repeat bool `json:"repeat"`
+
+	// Time within which an answer is wanted, in nanoseconds; 0 for none.
+	Target time.Duration `json:"target"`
+
+	// Longest time for a call, in nanoseconds; 0 for none.
+	Timeout time.Duration `json:"timeout"`
+}
+
 // Service is one service of a batch and the services it depends on.
 type Service struct {
 	// Priority class: urgent, normal or bulk.
 	Class string `json:"class"`
 
+	// Most connections to one upstream; 0 if the upstream tells.
+	Conns int `json:"conns"`
+
 	// Longest time for a call, in nanoseconds.
 	Limit time.Duration `json:"limit"`
 
--- a/daemon/exchanger/exchanger.go
+++ b/daemon/exchanger/exchanger.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"compress/flate"
 	"context"
 	"errors"
 	"fmt"
@@ -166,19 +165,9 @@
 	if err != nil {
 		return nil, err
 	}
-	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.DefaultCompression)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := w.Write(data); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	exchangesOut.Add(buf.Len())
-	return buf.Bytes(), nil
+	packed, err := encoder.Pack(data)
+	exchangesOut.Add(len(packed))
+	return packed, err
 }
 
 func unpack(body io.Reader) (wire.Gossip, error) {
@@ -188,7 +177,7 @@
 		return msg, fmt.Errorf("%w: %v", ErrExchange, err)
 	}
 	exchangesIn.Add(len(packed))
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), encoder.MaxMessage+1))
+	data, err := encoder.Unpack(packed)
 	if err != nil {
 		return msg, fmt.Errorf("%w: %v", ErrExchange, err)
 	}
