Carry calls on routes: courier, pipeliner, dispatcher, deliverer, budgeter

The wiring of both programs moves into importable runner packages. Controllers may take part in gossip, so that daemons find each other and further controllers through them. Sessions beat every 500 ms and close after 1.5 s of silence, so that a daemon follows again within 3 s after a partition.

--- a/controller/main.go
+++ b/controller/main.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
+	"bluebellhoist/controller/runner"
 	"bluebellhoist/controller/storer"
 )
 
@@ -46,11 +47,11 @@
 }
 
 func initialize(path string) error {
-	s, err := loadSettings(path)
+	s, err := runner.Load(path)
 	if err != nil {
 		return err
 	}
-	identity, err := storer.Init(s.Data, s.node())
+	identity, err := storer.Init(s.Data, s.Node())
 	if err != nil {
 		return err
 	}
@@ -59,10 +60,14 @@
 }
 
 func start(ctx context.Context, path string) error {
-	s, err := loadSettings(path)
+	s, err := runner.Load(path)
 	if err != nil {
 		return err
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: s.Name, Level: hclog.LevelFromString(s.Level)})
-	return serve(ctx, s, log)
+	r, err := runner.New(s, log)
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
 }
--- a/controller/cluster_test.go
+++ b/controller/runner/cluster_test.go
@@ -1,4 +1,4 @@
-package main
+package runner
 
 import (
 	"context"
@@ -31,9 +31,9 @@
 
 // node is one controller that may be down.
 type node struct {
-	settings settings
+	settings Settings
 	mu       sync.Mutex
-	running  *controller
+	running  *Runner
 	handler  http.Handler
 	cancel   context.CancelFunc
 	done     chan error
@@ -48,12 +48,12 @@
 		peers = append(peers, address(i))
 	}
 	for i := range clusterSize {
-		c.nodes = append(c.nodes, &node{settings: settings{
+		c.nodes = append(c.nodes, &node{settings: Settings{
 			Name: fmt.Sprintf("c%d", i), Domain: fmt.Sprintf("f%d", i), Listen: address(i), Peers: peers,
 			Data: filepath.Join(c.folder, fmt.Sprint(i)), Voter: true,
 		}})
 	}
-	if _, err := storer.Init(c.nodes[0].settings.Data, c.nodes[0].settings.node()); err != nil {
+	if _, err := storer.Init(c.nodes[0].settings.Data, c.nodes[0].settings.Node()); err != nil {
 		t.Fatal(err)
 	}
 	for i := range clusterSize {
@@ -77,7 +77,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	running := newController(n.settings, store, hclog.NewNullLogger())
+	running := newRunner(n.settings, store, hclog.NewNullLogger())
 	running.send = func(to netip.AddrPort, p wire.Packet) { c.send(i, int(to.Port())-1, p) }
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -144,7 +144,7 @@
 	})
 }
 
-func (n *node) get() *controller {
+func (n *node) get() *Runner {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.running
--- a/controller/history_test.go
+++ b/controller/runner/history_test.go
@@ -1,4 +1,4 @@
-package main
+package runner
 
 import (
 	"bytes"
--- a/controller/settings.go
+++ b/controller/runner/settings.go
@@ -1,4 +1,4 @@
-package main
+package runner
 
 import (
 	"errors"
@@ -13,8 +13,8 @@
 
 var errSettings = errors.New("invalid settings")
 
-// settings is the content of the settings file.
-type settings struct {
+// Settings is the content of the settings file.
+type Settings struct {
 	Name   string           `json:"name"`
 	Domain string           `json:"domain"`
 	Listen netip.AddrPort   `json:"listen"`
@@ -22,17 +22,25 @@
 	Data   string           `json:"data"`
 	Voter  bool             `json:"voter"`
 	Level  string           `json:"level"`
+	// Founders are the listen addresses of the first voters, on the first start of the whole cluster only. The name of a
+	// founder is its address.
+	Founders []netip.AddrPort `json:"founders"`
+	Seats    int              `json:"seats"`  // most voters; 0 for no limit
+	Gossip   bool             `json:"gossip"` // whether daemons may find each other through this node
+	Seeds    []netip.AddrPort `json:"seeds"`  // addresses of other members of the gossip
+	Grace    loader.Duration  `json:"grace"`  // longest time of a planned stop; optional
 }
 
-func loadSettings(path string) (settings, error) {
-	s := settings{Level: "info"}
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	s := Settings{Level: "info"}
 	if err := loader.File(path, &s); err != nil {
 		return s, fmt.Errorf("%w: %v", errSettings, err)
 	}
 	return s, s.check()
 }
 
-func (s settings) check() error {
+func (s Settings) check() error {
 	switch {
 	case s.Name == "":
 		return fmt.Errorf("%w: name is missing", errSettings)
@@ -42,12 +50,19 @@
 		return fmt.Errorf("%w: listen must be an IP address and port that other VMs can reach", errSettings)
 	case s.Data == "":
 		return fmt.Errorf("%w: data is missing", errSettings)
+	case len(s.Founders) > 0 && s.Name != s.Listen.String():
+		return fmt.Errorf("%w: the name of a founder must be its address %s", errSettings, s.Listen)
+	case s.Seats < 0:
+		return fmt.Errorf("%w: seats is negative", errSettings)
+	case s.Grace < 0:
+		return fmt.Errorf("%w: grace is negative", errSettings)
 	case hclog.LevelFromString(s.Level) == hclog.NoLevel:
 		return fmt.Errorf("%w: level %q is unknown", errSettings, s.Level)
 	}
 	return nil
 }
 
-func (s settings) node() wire.Node {
+// Node returns the node that the settings describe.
+func (s Settings) Node() wire.Node {
 	return wire.Node{Name: s.Name, Domain: s.Domain, Addr: s.Listen, Voter: s.Voter}
 }
--- a/core/framer/framer.go
+++ b/core/framer/framer.go
@@ -15,11 +15,12 @@
 
 const (
 	// BeatInterval is the time between two beats on a session, in each direction.
-	BeatInterval = 2 * time.Second
-	// SilenceLimit is the time without a frame after which a session is closed.
-	SilenceLimit = 6 * time.Second
+	BeatInterval = 500 * time.Millisecond
+	// SilenceLimit is the time without a frame after which a session is closed. With it a daemon follows changes again
+	// within 3 s after a partition or a silent connection.
+	SilenceLimit = 1500 * time.Millisecond
 
-	writeTimeout = 5 * time.Second
+	writeTimeout = 1500 * time.Millisecond
 )
 
 // ErrSession reports a session that the other side or the network ended.
--- a/daemon/gossiper/fuzz_test.go
+++ b/core/gossiper/fuzz_test.go
@@ -13,7 +13,7 @@
 
 	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/wire"
-	"bluebellhoist/daemon/gossiper"
+	"bluebellhoist/core/gossiper"
 )
 
 // seal puts the checksum of a datagram in front of its body.
--- a/daemon/gossiper/network_test.go
+++ b/core/gossiper/network_test.go
@@ -14,7 +14,7 @@
 
 	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/wire"
-	"bluebellhoist/daemon/gossiper"
+	"bluebellhoist/core/gossiper"
 )
 
 // network connects gossipers in memory with delay, loss, doubling and partitions.
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -617,6 +617,9 @@
 	// Connections it takes.
 	Conns int `json:"conns"`
 
+	// Identity of its process; empty if not told.
+	ID string `json:"id"`
+
 	// Service it serves.
 	Service string `json:"service"`
 
--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -13,7 +13,7 @@
 	"bluebellhoist/core/wire"
 )
 
-// Lifetime is how long an announcement holds without a repeat.
+// Lifetime is how long an announcement holds without a repeat, unless WithLifetime says otherwise.
 const Lifetime = 15 * time.Second
 
 const checkInterval = 250 * time.Millisecond
@@ -28,6 +28,7 @@
 type Announcer struct {
 	update  func(func(*wire.Member))
 	drained func(context.Context) error
+	life    time.Duration
 	log     hclog.Logger
 
 	// accepting is the upstream while it takes new calls, else nil. Call traffic reads it.
@@ -37,7 +38,8 @@
 	current  *wire.Upstream
 	seen     time.Time
 	since    int64
-	leaves   int // leaves that wait for calls in progress
+	heard    report // last numbered report of the upstream
+	leaves   int    // leaves that wait for calls in progress
 	stopping bool
 }
 
@@ -54,6 +56,11 @@
 	return func(a *Announcer) { a.drained = drained }
 }
 
+// WithLifetime sets how long an announcement holds without a repeat.
+func WithLifetime(life time.Duration) Option {
+	return func(a *Announcer) { a.life = life }
+}
+
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) Option {
 	return func(a *Announcer) { a.log = log }
@@ -64,6 +71,7 @@
 	a := &Announcer{
 		update:  func(func(*wire.Member)) {},
 		drained: func(context.Context) error { return nil },
+		life:    Lifetime,
 		log:     hclog.NewNullLogger(),
 	}
 	for _, opt := range opts {
@@ -107,6 +115,11 @@
 func (a *Announcer) announce(u wire.Upstream, now time.Time) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.accept(u, now)
+}
+
+// accept takes a valid announcement. The lock must be held.
+func (a *Announcer) accept(u wire.Upstream, now time.Time) error {
 	if a.stopping {
 		return ErrStopping
 	}
@@ -114,7 +127,7 @@
 	if a.leaves > 0 {
 		return ErrLeaving
 	}
-	if a.current != nil && now.Sub(a.seen) >= Lifetime {
+	if a.current != nil && now.Sub(a.seen) >= a.life {
 		a.withdraw()
 	}
 	a.seen = now
@@ -122,8 +135,7 @@
 		return nil
 	}
 	if a.current == nil || a.current.Address != u.Address || a.current.Service != u.Service || a.current.Start != u.Start {
-		// A clock that steps back must still give a new start.
-		a.since = max(now.UnixMilli(), a.since+1)
+		a.since = a.startOf(u, now)
 	}
 	a.current = &u
 	a.accepting.Store(&u)
@@ -135,6 +147,16 @@
 	return nil
 }
 
+// startOf returns the start of an upstream that is announced anew. A restarted daemon must not take its upstream for a
+// cold one, so the time that the upstream tells goes first.
+func (a *Announcer) startOf(u wire.Upstream, now time.Time) int64 {
+	if u.Start > a.since && u.Start <= now.UnixMilli() {
+		return u.Start
+	}
+	// A clock that steps back must still give a new start.
+	return max(now.UnixMilli(), a.since+1)
+}
+
 // leave withdraws the upstream and waits for the calls in progress.
 func (a *Announcer) leave(ctx context.Context) error {
 	a.mu.Lock()
@@ -151,7 +173,7 @@
 func (a *Announcer) expire(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.current != nil && now.Sub(a.seen) >= Lifetime {
+	if a.current != nil && now.Sub(a.seen) >= a.life {
 		a.log.Warn("announcement lapsed", "service", a.current.Service, "address", a.current.Address)
 		a.withdraw()
 	}
--- /dev/null
+++ b/daemon/courier/request.go
@@ -0,0 +1,141 @@
+// Package courier carries calls over HTTP/1.1 connections that it owns, so that it knows what was sent and which answer
+// belongs to which call.
+package courier
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Request is one call with its whole body.
+type Request struct {
+	Method string
+	Target string // as in the request line
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Close is true if the sender of the request will not reuse its connection.
+	Close bool
+}
+
+// Path returns the path of the target without the query.
+func (r *Request) Path() string {
+	path, _, _ := strings.Cut(r.Target, "?")
+	if strings.HasPrefix(path, "/") {
+		return path
+	}
+	// The target may be an absolute URL.
+	if _, rest, ok := strings.Cut(path, "://"); ok {
+		if i := strings.IndexByte(rest, '/'); i >= 0 {
+			return rest[i:]
+		}
+	}
+	return path
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// RemoveHopByHop removes the headers that concern one connection only.
+func RemoveHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// encode returns the bytes of the request. Its header must be free of headers that concern one connection only.
+func (r *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	writeHeader(&b, r.Header)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		writeLength(&b, len(r.Body))
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+func writeHeader(b *bytes.Buffer, h http.Header) {
+	for name, values := range h {
+		for _, value := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(value)
+			b.WriteString("\r\n")
+		}
+	}
+}
+
+func writeLength(b *bytes.Buffer, length int) {
+	b.WriteString("Content-Length: ")
+	b.WriteString(strconv.Itoa(length))
+	b.WriteString("\r\n")
+}
+
+// Answer is the response to one call with its whole body.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Close is true if the connection ends with this answer.
+	Close bool
+}
+
+// Encode returns the bytes of the answer to a request with the given method.
+func (a *Answer) Encode(method string) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(a.Body))
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
+	writeHeader(&b, a.Header)
+	bodyless := a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
+	if !bodyless {
+		writeLength(&b, len(a.Body))
+	}
+	if a.Close {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+	if !bodyless && method != http.MethodHead {
+		b.Write(a.Body)
+	}
+	return b.Bytes()
+}
+
+// readAnswer reads one whole response. An answer without a length ends with its connection.
+func readAnswer(r *bufio.Reader, method string, limit int64) (*Answer, error) {
+	for {
+		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil {
+			return nil, fmt.Errorf("%w: %v", ErrBroken, err)
+		}
+		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+		if err != nil {
+			return nil, fmt.Errorf("%w: %v", ErrBroken, err)
+		}
+		if int64(len(body)) > limit {
+			return nil, fmt.Errorf("%w: more than %d bytes", ErrBroken, limit)
+		}
+		framed := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: resp.Close || !framed}, nil
+	}
+}
--- /dev/null
+++ b/daemon/dispatcher/call.go
@@ -0,0 +1,179 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/courier"
+	"bluebellhoist/daemon/deliverer"
+)
+
+const headerOutcome = "Bluebell-Outcome"
+
+// call is one call in progress.
+type call struct {
+	d        *Dispatcher
+	route    *wire.Route
+	request  *courier.Request
+	id       string
+	service  string
+	version  uint64
+	started  time.Time
+	deadline time.Time
+	patience time.Duration // how long the caller waits
+
+	arrivals int      // upstreams that were sent the call
+	asked    []string // members that were asked
+	mayRun   bool     // an attempt without a known outcome was sent
+	failure  *courier.Answer
+	last     deliverer.Result
+}
+
+// run sends the call to members until one answers or nothing more may be tried.
+func (c *call) run(ctx context.Context) *courier.Answer {
+	c.d.count(c.service)
+	for c.mayTry(ctx) {
+		member, report, err := c.d.pick(c.service, c.asked)
+		if err != nil {
+			if len(c.asked) == 0 {
+				c.last = deliverer.Result{Outcome: deliverer.NotRun, Reason: err.Error()}
+			}
+			break
+		}
+		c.asked = append(c.asked, member.Name)
+		if answer := c.try(ctx, member, report); answer != nil {
+			return answer
+		}
+	}
+	return c.conclude(ctx)
+}
+
+// mayTry reports whether one more member may be asked.
+func (c *call) mayTry(ctx context.Context) bool {
+	if len(c.asked) == 0 {
+		return true
+	}
+	if ctx.Err() != nil || len(c.asked) >= maxTries || time.Until(c.deadline) <= 0 {
+		return false
+	}
+	if c.arrivals == 0 {
+		return true // no upstream was sent the call
+	}
+	if c.arrivals >= c.route.Attempts || (c.mayRun || c.failure != nil) && !c.route.Repeat {
+		return false
+	}
+	return c.d.take(c.service)
+}
+
+// try sends the call to one member and returns the answer if it is final.
+func (c *call) try(ctx context.Context, member wire.Member, report func(Outcome)) *courier.Answer {
+	started := time.Now()
+	result, kind := c.send(ctx, member)
+	if result.Arrived {
+		c.arrivals++
+	}
+	c.last = result
+	if ctx.Err() != nil && result.Outcome != deliverer.Answered {
+		kind = Canceled
+	}
+	report(Outcome{Kind: kind, Latency: time.Since(started), Load: result.Load})
+	c.d.log.Debug("attempt", "id", c.id, "route", c.route.Name, "service", c.service, "member", member.Name,
+		"outcome", result.Outcome, "reason", result.Reason, "load", result.Load)
+	switch result.Outcome {
+	case deliverer.Answered:
+		if result.Answer.Status < http.StatusInternalServerError {
+			return result.Answer
+		}
+		c.failure = result.Answer
+	case deliverer.Unknown:
+		c.mayRun = true
+	}
+	return nil
+}
+
+// send passes the call to the local upstream or to another daemon.
+func (c *call) send(ctx context.Context, member wire.Member) (deliverer.Result, Kind) {
+	order := deliverer.Order{
+		Request: c.request, Service: c.service, Class: c.class(), Deadline: c.deadline, Repeat: c.route.Repeat,
+	}
+	if member.Name == c.d.self {
+		result := c.d.local(ctx, order)
+		return result, kindOf(result)
+	}
+	sendCtx, cancel := context.WithDeadline(ctx, c.deadline.Add(peerGrace))
+	defer cancel()
+	answer, err := c.d.peers.Do(sendCtx, member.Addr, courier.Call{Request: order.Pack()})
+	switch {
+	case errors.Is(err, courier.ErrUnsent):
+		return deliverer.Result{Outcome: deliverer.NotRun, Reason: err.Error(), Load: -1}, Unreachable
+	case err != nil:
+		timeout := time.Until(c.deadline) <= 0
+		return deliverer.Result{Outcome: deliverer.Unknown, Reason: err.Error(), Load: -1, Arrived: true, Timeout: timeout}, Failed
+	}
+	result, ok := deliverer.Unpack(answer)
+	if !ok {
+		return deliverer.Result{Outcome: deliverer.Unknown, Reason: "not an answer of a daemon", Load: -1, Arrived: true}, Failed
+	}
+	return result, kindOf(result)
+}
+
+func kindOf(r deliverer.Result) Kind {
+	switch {
+	case r.Outcome == deliverer.NotRun:
+		return Rejected
+	case r.Outcome == deliverer.Unknown, r.Answer.Status >= http.StatusInternalServerError:
+		return Failed
+	}
+	return OK
+}
+
+// conclude returns the answer after the last attempt.
+func (c *call) conclude(ctx context.Context) *courier.Answer {
+	late := time.Until(c.deadline) <= 0 || ctx.Err() != nil
+	switch {
+	case c.failure != nil:
+		return c.failure
+	case c.mayRun && late:
+		return c.d.refuse(http.StatusGatewayTimeout, deliverer.Unknown, c.last.Reason, 0)
+	case c.mayRun:
+		return c.d.refuse(http.StatusBadGateway, deliverer.Unknown, c.last.Reason, 0)
+	}
+	return c.d.refuse(http.StatusServiceUnavailable, deliverer.NotRun, c.last.Reason, c.returnAfter())
+}
+
+// returnAfter tells a refused caller when to come back: after a part of the time that it has left, so that the second
+// try still has time to run.
+func (c *call) returnAfter() time.Duration {
+	const (
+		part    = 5
+		longest = time.Second
+		least   = 20 * time.Millisecond
+	)
+	left := c.patience - time.Since(c.started)
+	return max(least, min(left/part, longest))
+}
+
+// class returns the priority class for the rank of the route.
+func (c *call) class() string {
+	const urgent, normal = 1, 2
+	switch {
+	case c.route.Rank <= urgent:
+		return "urgent"
+	case c.route.Rank <= normal:
+		return "normal"
+	}
+	return "bulk"
+}
+
+// report logs the end of a call that failed.
+func (c *call) report(ctx context.Context, a *courier.Answer, took time.Duration) {
+	if a.Status < http.StatusInternalServerError {
+		return
+	}
+	c.d.log.Info("call failed", "id", c.id, "route", c.route.Name, "version", c.version, "service", c.service,
+		"status", a.Status, "reason", c.last.Reason, "asked", c.asked, "arrivals", c.arrivals, "gone", ctx.Err() != nil,
+		"took", took.Round(time.Millisecond), "patience", c.patience)
+}
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/courier"
 )
 
 // Values of HeaderOutcome.
@@ -164,7 +165,7 @@
 		release:  func(wire.Claim) {},
 		finish:   func(wire.Claim) {},
 		dial:     dialTCP,
-		dialPeer: dialPeer,
+		dialPeer: courier.DialPeer,
 		set:      metrics.GetDefaultSet(),
 	}
 	for _, opt := range opts {
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -11,6 +11,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
+
+	"bluebellhoist/daemon/runner"
 )
 
 const (
@@ -43,10 +45,14 @@
 }
 
 func start(ctx context.Context, path string) error {
-	s, err := loadSettings(path)
+	s, err := runner.Load(path)
 	if err != nil {
 		return err
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: s.Name, Level: hclog.LevelFromString(s.Level)})
-	return serve(ctx, s, log)
+	r, err := runner.New(s, log)
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
 }
--- a/daemon/gauges.go
+++ b/daemon/runner/gauges.go
@@ -1,4 +1,4 @@
-package main
+package runner
 
 import (
 	"time"
@@ -9,16 +9,16 @@
 )
 
 // gauges shows the state of the daemon.
-func (d *daemon) gauges() *metrics.Set {
+func (r *Runner) gauges() *metrics.Set {
 	set := metrics.NewSet()
 	set.NewGauge("bluebell_held_version", func() float64 {
-		if held := d.subscriber.Held(); held != nil {
+		if held := r.subscriber.Held(); held != nil {
 			return float64(held.Version())
 		}
 		return 0
 	})
 	set.NewGauge("bluebell_contract_seconds_left", func() float64 {
-		held := d.subscriber.Held()
+		held := r.subscriber.Held()
 		if held == nil || !held.Covers(time.Now()) {
 			return 0
 		}
@@ -26,14 +26,14 @@
 	})
 	set.NewGauge("bluebell_members_alive", func() float64 {
 		alive := 0
-		for _, m := range d.gossiper.Members() {
+		for _, m := range r.gossiper.Members() {
 			if m.State == wire.Alive {
 				alive++
 			}
 		}
 		return float64(alive)
 	})
-	set.NewGauge("bluebell_upstream_load", func() float64 { return float64(d.limiter.Load()) })
-	set.NewGauge("bluebell_upstream_limit", func() float64 { return float64(d.limiter.Limit()) })
+	set.NewGauge("bluebell_upstream_load", func() float64 { return float64(r.limiter.Load()) })
+	set.NewGauge("bluebell_upstream_limit", func() float64 { return float64(r.limiter.Limit()) })
 	return set
 }
--- a/daemon/status.go
+++ b/daemon/runner/status.go
@@ -1,4 +1,4 @@
-package main
+package runner
 
 import (
 	"net/http"
@@ -29,19 +29,19 @@
 	Ready   bool           `json:"ready"`
 }
 
-func (d *daemon) getStatus(c echo.Context) error {
+func (r *Runner) getStatus(c echo.Context) error {
 	s := status{
-		Name:    d.settings.Name,
-		Domain:  d.settings.Domain,
-		Batch:   d.settings.Batch,
-		Load:    d.limiter.Load(),
-		Limit:   d.limiter.Limit(),
+		Name:    r.settings.Load().Name,
+		Domain:  r.settings.Load().Domain,
+		Batch:   r.settings.Load().Batch,
+		Load:    r.limiter.Load(),
+		Limit:   r.limiter.Limit(),
 		Members: []member{},
 	}
-	if held := d.subscriber.Held(); held != nil {
+	if held := r.subscriber.Held(); held != nil {
 		s.Held, s.Covers = held.Version(), held.Covers(time.Now())
 	}
-	for _, m := range d.gossiper.Members() {
+	for _, m := range r.gossiper.Members() {
 		s.Members = append(s.Members, member{
 			Name: m.Name, Domain: m.Domain, Addr: m.Addr, State: m.State, Service: m.Service, Ready: m.Ready,
 		})
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -20,17 +20,17 @@
 
 const (
 	// StaleLimit is how long a controller may lack a majority before the daemon tries another.
-	StaleLimit = 6 * time.Second
+	StaleLimit = time.Second
 	// AnswerLimit is the time after which an unanswered request makes a session without any other frame suspect.
 	AnswerLimit = 900 * time.Millisecond
 
 	minBackoff = 200 * time.Millisecond
-	maxBackoff = 10 * time.Second
+	maxBackoff = 700 * time.Millisecond
 	// roundPause bounds the jitter between two controllers of one round.
 	roundPause = 100 * time.Millisecond
 	// dialTimeout lets a daemon find a controller within the 14 s for a change when the VM of its own has died, which
 	// takes framer.SilenceLimit to notice, and 8 further ones of 12 with it; with more no majority is left.
-	dialTimeout = 700 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
 )
 
 // Errors of this layer.
@@ -56,6 +56,7 @@
 	region      string
 	batch       string
 	controllers []Controller
+	source      func() []Controller
 	store       store
 	random      *rand.Rand
 	log         hclog.Logger
@@ -83,6 +84,11 @@
 	return func(s *Subscriber) { s.controllers = controllers }
 }
 
+// WithSource sets a function that returns further controllers, as they are known now.
+func WithSource(source func() []Controller) Option {
+	return func(s *Subscriber) { s.source = source }
+}
+
 // WithFolder sets the data folder that keeps the snapshot over a restart.
 func WithFolder(folder string) Option {
 	return func(s *Subscriber) { s.store = store{folder: folder} }
@@ -106,6 +112,7 @@
 // New returns a subscriber. WithName and WithControllers are required.
 func New(opts ...Option) *Subscriber {
 	s := &Subscriber{
+		source: func() []Controller { return nil },
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:    hclog.NewNullLogger(),
 		dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
@@ -181,8 +188,9 @@
 // order returns the controllers in random order, those of the own failure domain first and then those of the region.
 func (s *Subscriber) order() []Controller {
 	var domain, region, far []Controller
-	for _, i := range s.random.Perm(len(s.controllers)) {
-		switch c := s.controllers[i]; {
+	all := s.known()
+	for _, i := range s.random.Perm(len(all)) {
+		switch c := all[i]; {
 		case c.Domain == s.domain:
 			domain = append(domain, c)
 		case s.region != "" && c.Region == s.region:
@@ -194,6 +202,17 @@
 	return slices.Concat(domain, region, far)
 }
 
+// known returns each controller once. What the source says about one goes before the settings.
+func (s *Subscriber) known() []Controller {
+	all := slices.Clone(s.source())
+	for _, c := range s.controllers {
+		if !slices.ContainsFunc(all, func(o Controller) bool { return o.Addr == c.Addr }) {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
 // take puts the snapshot of a frame in effect if it is newer and valid.
 func (s *Subscriber) take(frame wire.Frame) error {
 	next, err := s.build(frame)
