--- a/daemon/announcer/report.go
+++ b/daemon/announcer/report.go
@@ -31,7 +31,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	last := a.heard
-	same := last.id == r.Upstream.ID && (last.start == r.Upstream.Start || r.Upstream.Start == 0)
+	same := last.id == r.Upstream.ID && (last.start == 0 || r.Upstream.Start == 0 || last.start == r.Upstream.Start)
 	if same && (last.final || r.Seq != 0 && r.Seq <= last.seq) || !same && r.Upstream.Start != 0 && r.Upstream.Start < last.start {
 		return ErrStale
 	}
