Wait for a slot only while the target can be met; stop in two phases

Cause: under load every call waited until its deadline, so that nearly all answers came after their target. A call now starts at the latest its usual time before its target and is refused at once otherwise. Ruled out: lowering the limit of slots on rejections, which made an upstream that rejects at random nearly unused; routed calls keep all slots open.

--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -182,6 +182,9 @@
 		BaseContext:       func(net.Listener) context.Context { return parts },
 	}
 
+	// Settings of a controller hold from its start; a hangup must not end it.
+	signal.Ignore(syscall.SIGHUP)
+
 	var group run.Group
 	own := []func(context.Context) error{c.messenger.Run, c.replicator.Run, c.expirer.Run}
 	if c.gossiper != nil {
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -40,7 +40,9 @@
 	Service  string
 	Class    string
 	Deadline time.Time
-	Repeat   bool // the call may run more than once
+	Target   time.Time // an answer is wanted by then; zero for none
+	Kind     string    // calls of one kind take about the same time
+	Repeat   bool      // the call may run more than once
 }
 
 // Result is the end of an order.
@@ -72,6 +74,7 @@
 	load     func() int
 	client   *courier.Client
 	names    courier.Names
+	times    times
 	draining atomic.Bool
 }
 
@@ -150,7 +153,7 @@
 	if refused := d.check(before, ok, o); refused != "" {
 		return notRun(refused)
 	}
-	waiting, cancel := context.WithDeadline(ctx, o.Deadline)
+	waiting, cancel := context.WithDeadline(ctx, d.latest(o))
 	defer cancel()
 	free, err := d.acquire(waiting, o.Class)
 	if err != nil {
@@ -166,11 +169,28 @@
 		free(Ignored)
 		return Result{Outcome: NotRun, Reason: "the deadline passed before the call was sent", Timeout: true}
 	}
+	began := time.Now()
 	result, end := d.send(ctx, o, after)
 	free(end)
+	if result.Outcome == Answered || result.Timeout {
+		d.times.add(o.Kind, time.Since(began))
+	}
 	return result
 }
 
+// latest returns when a call must start at the latest. A call that would be answered after its target takes the slot of
+// one that can still be answered in time, so under load it is refused while its caller can come back.
+func (d *Deliverer) latest(o Order) time.Time {
+	if o.Target.IsZero() {
+		return o.Deadline
+	}
+	start := o.Target.Add(-d.times.usual(o.Kind))
+	if start.After(o.Deadline) {
+		return o.Deadline
+	}
+	return start
+}
+
 func (d *Deliverer) check(u wire.Upstream, ok bool, o Order) string {
 	switch {
 	case d.draining.Load():
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -15,7 +15,9 @@
 const (
 	headerService = "Bluebell-Service"
 	headerClass   = "Bluebell-Class"
-	headerLeft    = "Bluebell-Left" // milliseconds until the deadline
+	headerLeft    = "Bluebell-Left"        // milliseconds until the deadline
+	headerTarget  = "Bluebell-Target-Left" // milliseconds until the target, negative if it has passed; absent if there is none
+	headerKind    = "Bluebell-Kind"
 	headerRepeat  = "Bluebell-Repeat"
 	headerHost    = "Bluebell-Host" // host that the caller named
 	headerOutcome = "Bluebell-Outcome"
@@ -41,6 +43,10 @@
 	request.Header.Set(headerService, o.Service)
 	request.Header.Set(headerClass, o.Class)
 	request.Header.Set(headerLeft, strconv.FormatInt(time.Until(o.Deadline).Milliseconds(), 10))
+	if !o.Target.IsZero() {
+		request.Header.Set(headerTarget, strconv.FormatInt(time.Until(o.Target).Milliseconds(), 10))
+	}
+	request.Header.Set(headerKind, o.Kind)
 	request.Header.Set(headerRepeat, strconv.FormatBool(o.Repeat))
 	request.Header.Set(headerHost, request.Host)
 	request.Host = Host
@@ -63,8 +69,16 @@
 		Service:  h.Get(headerService),
 		Class:    h.Get(headerClass),
 		Deadline: time.Now().Add(time.Duration(left) * time.Millisecond),
+		Kind:     h.Get(headerKind),
 		Repeat:   repeat,
 	}
+	if text := h.Get(headerTarget); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return Order{}, fmt.Errorf("%w: %s: %v", errHeader, headerTarget, err)
+		}
+		o.Target = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
 	o.Request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
 		return Order{}, fmt.Errorf("body: %w", err)
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -97,7 +97,11 @@
 // send passes the call to the local upstream or to another daemon.
 func (c *call) send(ctx context.Context, member wire.Member) (deliverer.Result, Kind) {
 	order := deliverer.Order{
-		Request: c.request, Service: c.service, Class: c.class(), Deadline: c.deadline, Repeat: c.route.Repeat,
+		Request: c.request, Service: c.service, Class: c.class(), Deadline: c.deadline, Kind: c.route.Name,
+		Repeat: c.route.Repeat,
+	}
+	if c.route.Target > 0 {
+		order.Target = c.started.Add(c.route.Target)
 	}
 	if member.Name == c.d.self {
 		result := c.d.local(ctx, order)
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -153,6 +153,14 @@
 	return answer
 }
 
+// restartTime is about how long a daemon takes to come back after a planned stop.
+const restartTime = time.Second
+
+// Refuse returns the answer to a call that is not taken because the daemon stops.
+func (d *Dispatcher) Refuse(reason string) *courier.Answer {
+	return d.refuse(http.StatusServiceUnavailable, deliverer.NotRun, reason, restartTime)
+}
+
 // admit selects the route and the service of a call.
 func (d *Dispatcher) admit(request *courier.Request, now time.Time) (*call, *courier.Answer) {
 	snapshot := d.snapshot()
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -61,6 +61,7 @@
 	pipeliner  *pipeliner.Server
 	since      atomic.Int64 // start of the local upstream, as announced
 	stopping   atomic.Bool
+	refusing   atomic.Bool  // routed calls of callers are refused, since the daemon ends soon
 	calls      atomic.Int64 // routed calls of callers in progress
 	lastCall   atomic.Int64 // when one began, in nanoseconds since the Unix epoch
 	doors      []door
@@ -216,6 +217,9 @@
 
 // handle answers one routed call and counts it while it is in progress.
 func (r *Runner) handle(ctx context.Context, request *courier.Request) *courier.Answer {
+	if r.refusing.Load() {
+		return r.dispatcher.Refuse("the daemon is stopping")
+	}
 	r.calls.Add(1)
 	defer r.calls.Add(-1)
 	r.lastCall.Store(time.Now().UnixNano())
--- a/daemon/runner/stop.go
+++ b/daemon/runner/stop.go
@@ -17,17 +17,22 @@
 	leaveLimit = 3 * time.Second
 	// lingerTime is how long a stopping daemon still refuses calls, until all others have heard of its leave.
 	lingerTime = 2 * time.Second
-	// quietTime is how long no caller must have sent a routed call before a stopping daemon ends. Callers move away only
-	// after they have seen more than once that the daemon is not ready.
-	quietTime = 2500 * time.Millisecond
+	// awayTime is how long callers need to see that a daemon is not ready. It serves on until then.
+	awayTime = 2 * time.Second
+	// quietTime is how long no caller must have sent a routed call before a stopping daemon ends.
+	quietTime = 300 * time.Millisecond
+	// acceptShare is the part of the grace after which a stopping daemon refuses routed calls, since they might not end
+	// in time.
+	acceptShare = 0.45
 	// stopPoll is the time between two looks at the calls in progress.
 	stopPoll = 20 * time.Millisecond
 )
 
 // stop leaves the mesh and returns once every call in progress has ended.
 func (r *Runner) stop(servers ...*http.Server) error {
+	grace := time.Duration(r.settings.Load().Grace)
 	limit := stopLimit
-	if grace := time.Duration(r.settings.Load().Grace); grace > 0 {
+	if grace > 0 {
 		limit = grace - stopReserve
 	}
 	r.log.Info("stopping", "limit", limit)
@@ -35,21 +40,17 @@
 	defer cancel()
 	r.stopping.Store(true)
 	r.pipeliner.Drain()
-	r.announcer.Leave()
-	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveLimit)
-	defer cancelLeave()
-	if err := r.gossiper.Leave(leaveCtx); err != nil {
-		r.log.Warn("leave not confirmed", "error", err)
-	}
-	if err := r.forwarder.Drain(ctx); err != nil {
-		r.log.Error("calls were cut off", "error", err)
+	routes := r.settings.Load().Routes.IsValid()
+	if routes {
+		wait(ctx, awayTime)
+		refuse := time.AfterFunc(time.Duration(acceptShare*float64(limit))-awayTime, func() { r.refusing.Store(true) })
+		defer refuse.Stop()
 	}
-	if err := r.claimer.Drain(ctx); err != nil {
-		r.log.Warn("claims not released", "error", err)
-	}
-	r.awaitQuiet(ctx)
-	// Daemons that have not heard of the leave yet get refusals as not run instead of closed connections.
-	if !r.settings.Load().Routes.IsValid() {
+	r.leave(ctx)
+	if routes {
+		r.awaitQuiet(ctx)
+	} else {
+		// Daemons that have not heard of the leave yet get refusals as not run instead of closed connections.
 		wait(ctx, lingerTime)
 	}
 	for _, server := range servers {
@@ -62,14 +63,26 @@
 	return nil
 }
 
-// awaitQuiet returns once no routed call is in progress and callers have moved away.
-func (r *Runner) awaitQuiet(ctx context.Context) {
-	if !r.settings.Load().Routes.IsValid() {
-		return
+// leave withdraws the upstream and tells the other members.
+func (r *Runner) leave(ctx context.Context) {
+	r.announcer.Leave()
+	leaveCtx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	if err := r.gossiper.Leave(leaveCtx); err != nil {
+		r.log.Warn("leave not confirmed", "error", err)
+	}
+	if err := r.forwarder.Drain(ctx); err != nil {
+		r.log.Error("calls were cut off", "error", err)
 	}
-	began := time.Now()
+	if err := r.claimer.Drain(ctx); err != nil {
+		r.log.Warn("claims not released", "error", err)
+	}
+}
+
+// awaitQuiet returns once no routed call is in progress and none came for a while.
+func (r *Runner) awaitQuiet(ctx context.Context) {
 	for ctx.Err() == nil {
-		quiet := time.Since(time.Unix(0, r.lastCall.Load())) >= quietTime && time.Since(began) >= quietTime
+		quiet := time.Since(time.Unix(0, r.lastCall.Load())) >= quietTime
 		if quiet && r.calls.Load() == 0 && r.limiter.Load() == 0 {
 			return
 		}
