--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -69,7 +69,7 @@
 // Deliverer sends calls to the local upstream.
 type Deliverer struct {
 	upstream func() (wire.Upstream, bool)
-	acquire  func(ctx context.Context, class string) (func(End), error)
+	acquire  func(ctx context.Context, class string, latest time.Time) (func(End), error)
 	lost     func(wire.Upstream)
 	load     func() int
 	client   *courier.Client
@@ -86,8 +86,8 @@
 	return func(d *Deliverer) { d.upstream = upstream }
 }
 
-// WithAcquire sets the function that waits for a slot.
-func WithAcquire(acquire func(ctx context.Context, class string) (func(End), error)) Option {
+// WithAcquire sets the function that waits for a slot, until latest if none is free.
+func WithAcquire(acquire func(ctx context.Context, class string, latest time.Time) (func(End), error)) Option {
 	return func(d *Deliverer) { d.acquire = acquire }
 }
 
@@ -153,9 +153,9 @@
 	if refused := d.check(before, ok, o); refused != "" {
 		return notRun(refused)
 	}
-	waiting, cancel := context.WithDeadline(ctx, d.latest(o))
+	waiting, cancel := context.WithDeadline(ctx, o.Deadline)
 	defer cancel()
-	free, err := d.acquire(waiting, o.Class)
+	free, err := d.acquire(waiting, o.Class, d.latest(o))
 	if err != nil {
 		return Result{Outcome: NotRun, Reason: "no slot: " + err.Error(), Timeout: errors.Is(err, context.DeadlineExceeded)}
 	}
@@ -178,7 +178,7 @@
 	return result
 }
 
-// latest returns when a call must start at the latest. A call that would be answered after its target takes the slot of
+// latest returns when a call that waits must start at the latest. A call that would be answered after its target takes the slot of
 // one that can still be answered in time, so under load it is refused while its caller can come back.
 func (d *Deliverer) latest(o Order) time.Time {
 	if o.Target.IsZero() {
--- a/daemon/limiter/acquire.go
+++ b/daemon/limiter/acquire.go
@@ -20,8 +20,14 @@
 // Acquire returns when the call of the given class may be sent to the upstream, or an error if it was not admitted.
 // The caller must call done once the call has ended; further calls of done have no effect. Unknown classes are normal.
 func (l *Limiter) Acquire(ctx context.Context, class string) (done func(Outcome), err error) {
+	latest, _ := ctx.Deadline()
+	return l.AcquireBefore(ctx, class, latest)
+}
+
+// AcquireBefore is Acquire for a call that must start by latest if it has to wait; a free slot is taken at any time.
+func (l *Limiter) AcquireBefore(ctx context.Context, class string, latest time.Time) (done func(Outcome), err error) {
 	arrival := l.now()
-	c, err := l.acquire(ctx, class, arrival)
+	c, err := l.acquire(ctx, class, latest, arrival)
 	if err != nil {
 		if l.hooks.Refused != nil {
 			l.hooks.Refused(class, err)
@@ -34,13 +40,12 @@
 	return c.done, nil
 }
 
-func (l *Limiter) acquire(ctx context.Context, class string, now time.Time) (*call, error) {
+func (l *Limiter) acquire(ctx context.Context, class string, latest, now time.Time) (*call, error) {
 	if ctx.Err() != nil {
 		return nil, gone(ctx)
 	}
-	deadline, _ := ctx.Deadline()
 	l.mu.Lock()
-	seq, w, err := l.admit(rank(class), deadline, now)
+	seq, w, err := l.admit(rank(class), latest, now)
 	l.mu.Unlock()
 	if err != nil {
 		return nil, err
@@ -48,6 +53,11 @@
 	if w == nil {
 		return &call{limiter: l, class: class, seq: seq, start: now}, nil
 	}
+	if !latest.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, latest)
+		defer cancel()
+	}
 	if err := l.wait(ctx, w); err != nil {
 		return nil, err
 	}
--- a/daemon/runner/adapters.go
+++ b/daemon/runner/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/deliverer"
@@ -119,14 +120,14 @@
 }
 
 // acquireRouted takes a slot for a routed call.
-func (r *Runner) acquireRouted(ctx context.Context, class string) (func(deliverer.End), error) {
+func (r *Runner) acquireRouted(ctx context.Context, class string, latest time.Time) (func(deliverer.End), error) {
 	// An upstream that rejects calls although no more are sent to it than it has slots, or that is slow, gains nothing
 	// from fewer calls, since nobody else sends any.
 	ends := map[deliverer.End]limiter.Outcome{
 		deliverer.OK: limiter.OK, deliverer.Overloaded: limiter.Ignored, deliverer.TimedOut: limiter.OK,
 		deliverer.Ignored: limiter.Ignored,
 	}
-	done, err := r.limiter.Acquire(ctx, class)
+	done, err := r.limiter.AcquireBefore(ctx, class, latest)
 	if err != nil {
 		return nil, err
 	}
