--- a/daemon/limiter/capacity.go
+++ b/daemon/limiter/capacity.go
@@ -30,6 +30,7 @@
 	slots    int
 	limit    float64
 	starting bool // slow start after a cold start
+	open     bool // all slots are open at a cold start
 	hold     time.Duration
 	grants   uint64 // number of calls granted
 	epoch    uint64 // last call granted before the last decrease
@@ -54,6 +55,9 @@
 	c.slots = slots
 	c.limit = max(1, float64(slots)/startShare)
 	c.starting = true
+	if c.open {
+		c.limit, c.starting = float64(slots), false
+	}
 	c.hold = 0
 	c.epoch, c.birth = c.grants, c.grants
 }
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -76,6 +76,11 @@
 	return func(l *Limiter) { l.grace = grace }
 }
 
+// WithoutSlowStart opens all slots at a cold start. It fits upstreams that announce how many calls they take at once.
+func WithoutSlowStart() Option {
+	return func(l *Limiter) { l.capacity.open = true }
+}
+
 // WithClock sets the clock.
 func WithClock(now func() time.Time) Option {
 	return func(l *Limiter) { l.now = now }
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -157,7 +157,12 @@
 		gossiper.WithExchange(r.exchanger.Exchange),
 		gossiper.WithLogger(r.log.Named("gossiper")),
 	)
-	r.limiter = limiter.New()
+	var slots []limiter.Option
+	if s.Routes.IsValid() {
+		// After a common restart the calls of all daemons arrive at once.
+		slots = append(slots, limiter.WithoutSlowStart())
+	}
+	r.limiter = limiter.New(slots...)
 	r.router = router.New(router.WithMembers(r.gossiper.Members), router.WithDomain(s.Domain))
 	r.announcer = announcer.New(
 		announcer.WithUpdate(r.update),
