Refuse calls that would probably miss their target in the queue

Cause: calls were admitted up to one usual time before their target; half of them took longer and were answered late, at the cost of calls that could have been in time. They must now start 1.7 usual times before it.

--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -19,6 +19,9 @@
 	answerGrace = 100 * time.Millisecond
 	// minLeft is the least time that is worth sending a call for.
 	minLeft = 5 * time.Millisecond
+	// spread is how many usual times before its target a call that waits must start, since many calls take longer than
+	// usual.
+	spread = 1.7
 	// freshIdle is the longest idle time of a connection for calls that may run only once: an upstream may drop an idle
 	// connection, and a reset then leaves open whether the call ran.
 	freshIdle = 300 * time.Millisecond
@@ -184,7 +187,7 @@
 	if o.Target.IsZero() {
 		return o.Deadline
 	}
-	start := o.Target.Add(-d.times.usual(o.Kind))
+	start := o.Target.Add(-time.Duration(spread * float64(d.times.usual(o.Kind))))
 	if start.After(o.Deadline) {
 		return o.Deadline
 	}
