--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -5,30 +5,26 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"bluebellhoist/daemon/courier"
 )
 
-// Headers between daemons.
+// Headers between daemons. Each holds several fields, since every byte of a call between failure domains counts.
 const (
-	headerService = "Bluebell-Service"
-	headerClass   = "Bluebell-Class"
-	headerLeft    = "Bluebell-Left"        // milliseconds until the deadline
-	headerTarget  = "Bluebell-Target-Left" // milliseconds until the target, negative if it has passed; absent if there is none
-	headerKind    = "Bluebell-Kind"
-	headerRepeat  = "Bluebell-Repeat"
-	headerHost    = "Bluebell-Host" // host that the caller named
-	headerOutcome = "Bluebell-Outcome"
-	headerReason  = "Bluebell-Reason"
-	headerLoad    = "Bluebell-Load"
-	headerArrived = "Bluebell-Arrived"
-	headerTimeout = "Bluebell-Timeout"
-)
+	// headerOrder holds service, class, milliseconds until the deadline, milliseconds until the target (empty if there
+	// is none), kind, and whether the call may run more than once.
+	headerOrder = "Bluebell-Order"
+	// headerResult holds outcome, load, whether the upstream was sent the call, whether the deadline passed, and reason.
+	headerResult = "Bluebell-Result"
 
-// Host marks a routed call among the calls of other daemons. No service can have this name.
-const Host = "_route"
+	separator    = ";"
+	orderFields  = 6
+	resultFields = 5
+)
 
 // maxBody bounds the body of a call between daemons in bytes.
 const maxBody = 64 << 20
@@ -36,61 +32,68 @@
 // errHeader reports a call between daemons whose headers cannot be used.
 var errHeader = errors.New("invalid header of a daemon")
 
+// Routed reports whether a request of another daemon is a routed call.
+func Routed(r *http.Request) bool {
+	return r.Header.Get(headerOrder) != ""
+}
+
 // Pack returns the order as a request to another daemon.
 func (o Order) Pack() *courier.Request {
 	request := *o.Request
 	request.Header = request.Header.Clone()
-	request.Header.Set(headerService, o.Service)
-	request.Header.Set(headerClass, o.Class)
-	request.Header.Set(headerLeft, strconv.FormatInt(time.Until(o.Deadline).Milliseconds(), 10))
+	target := ""
 	if !o.Target.IsZero() {
-		request.Header.Set(headerTarget, strconv.FormatInt(time.Until(o.Target).Milliseconds(), 10))
+		target = millis(time.Until(o.Target))
 	}
-	request.Header.Set(headerKind, o.Kind)
-	request.Header.Set(headerRepeat, strconv.FormatBool(o.Repeat))
-	request.Header.Set(headerHost, request.Host)
-	request.Host = Host
+	request.Header.Set(headerOrder, strings.Join([]string{
+		o.Service, o.Class, millis(time.Until(o.Deadline)), target, url.QueryEscape(o.Kind), strconv.FormatBool(o.Repeat),
+	}, separator))
 	return &request
 }
 
+func millis(d time.Duration) string {
+	return strconv.FormatInt(d.Milliseconds(), 10)
+}
+
 // unpack returns the order in a request of another daemon.
-func unpack(r *http.Request) (Order, error) {
-	h := r.Header
-	left, err := strconv.ParseInt(h.Get(headerLeft), 10, 64)
-	if err != nil {
-		return Order{}, fmt.Errorf("%w: %s: %v", errHeader, headerLeft, err)
+func unpack(r *http.Request, now time.Time) (Order, error) {
+	fields := strings.Split(r.Header.Get(headerOrder), separator)
+	if len(fields) != orderFields {
+		return Order{}, fmt.Errorf("%w: %d fields", errHeader, len(fields))
+	}
+	o := Order{
+		Request: &courier.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header},
+		Service: fields[0],
+		Class:   fields[1],
 	}
-	repeat, err := strconv.ParseBool(h.Get(headerRepeat))
+	left, err := strconv.ParseInt(fields[2], 10, 64)
 	if err != nil {
-		return Order{}, fmt.Errorf("%w: %s: %v", errHeader, headerRepeat, err)
+		return Order{}, fmt.Errorf("%w: deadline: %v", errHeader, err)
 	}
-	o := Order{
-		Request:  &courier.Request{Method: r.Method, Target: r.RequestURI, Host: h.Get(headerHost), Header: h},
-		Service:  h.Get(headerService),
-		Class:    h.Get(headerClass),
-		Deadline: time.Now().Add(time.Duration(left) * time.Millisecond),
-		Kind:     h.Get(headerKind),
-		Repeat:   repeat,
-	}
-	if text := h.Get(headerTarget); text != "" {
-		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil {
-			return Order{}, fmt.Errorf("%w: %s: %v", errHeader, headerTarget, err)
+	o.Deadline = now.Add(time.Duration(left) * time.Millisecond)
+	if fields[3] != "" {
+		if left, err = strconv.ParseInt(fields[3], 10, 64); err != nil {
+			return Order{}, fmt.Errorf("%w: target: %v", errHeader, err)
 		}
-		o.Target = time.Now().Add(time.Duration(ms) * time.Millisecond)
+		o.Target = now.Add(time.Duration(left) * time.Millisecond)
 	}
-	o.Request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxBody))
-	if err != nil {
+	if o.Kind, err = url.QueryUnescape(fields[4]); err != nil {
+		return Order{}, fmt.Errorf("%w: kind: %v", errHeader, err)
+	}
+	if o.Repeat, err = strconv.ParseBool(fields[5]); err != nil {
+		return Order{}, fmt.Errorf("%w: repeat: %v", errHeader, err)
+	}
+	if o.Request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxBody)); err != nil {
 		return Order{}, fmt.Errorf("body: %w", err)
 	}
-	courier.RemoveHopByHop(h)
-	courier.RemoveOwn(h)
+	courier.RemoveHopByHop(r.Header)
+	courier.RemoveOwn(r.Header)
 	return o, nil
 }
 
 // ServeHTTP answers a call of another daemon.
 func (d *Deliverer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	o, err := unpack(r)
+	o, err := unpack(r, time.Now())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -113,11 +116,9 @@
 	if _, ok := h["Date"]; !ok {
 		h["Date"] = nil
 	}
-	h.Set(headerOutcome, string(r.Outcome))
-	h.Set(headerReason, r.Reason)
-	h.Set(headerLoad, strconv.Itoa(r.Load))
-	h.Set(headerArrived, strconv.FormatBool(r.Arrived))
-	h.Set(headerTimeout, strconv.FormatBool(r.Timeout))
+	h.Set(headerResult, strings.Join([]string{
+		string(r.Outcome), strconv.Itoa(r.Load), strconv.FormatBool(r.Arrived), strconv.FormatBool(r.Timeout), r.Reason,
+	}, separator))
 	if r.Answer == nil {
 		w.WriteHeader(status)
 		return
@@ -129,20 +130,22 @@
 
 // Unpack returns the result in an answer of another daemon, and false if it is none.
 func Unpack(a *courier.Answer) (Result, bool) {
-	h := a.Header
-	load, err := strconv.Atoi(h.Get(headerLoad))
+	fields := strings.SplitN(a.Header.Get(headerResult), separator, resultFields)
+	if len(fields) != resultFields {
+		return Result{}, false
+	}
+	load, err := strconv.Atoi(fields[1])
 	if err != nil {
-		load = -1
+		return Result{}, false
 	}
 	r := Result{
-		Outcome: Outcome(h.Get(headerOutcome)), Reason: h.Get(headerReason), Load: load,
-		Arrived: h.Get(headerArrived) == "true", Timeout: h.Get(headerTimeout) == "true",
+		Outcome: Outcome(fields[0]), Load: load, Arrived: fields[2] == "true", Timeout: fields[3] == "true", Reason: fields[4],
 	}
 	switch r.Outcome {
 	case Answered:
-		courier.RemoveHopByHop(h)
-		courier.RemoveOwn(h)
-		r.Answer = &courier.Answer{Status: a.Status, Header: h, Body: a.Body}
+		courier.RemoveHopByHop(a.Header)
+		courier.RemoveOwn(a.Header)
+		r.Answer = &courier.Answer{Status: a.Status, Header: a.Header, Body: a.Body}
 	case NotRun, Unknown:
 	default:
 		return Result{}, false
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -321,7 +321,7 @@
 func (r *Runner) peerHandler() http.Handler {
 	ingress := r.forwarder.Ingress()
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if request.Host == deliverer.Host {
+		if deliverer.Routed(request) {
 			r.deliverer.ServeHTTP(w, request)
 			return
 		}
