--- /dev/null
+++ b/core/compiler/routes_test.go
@@ -0,0 +1,98 @@
+package compiler_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/wire"
+)
+
+var routed = []wire.Service{{Name: "a", Class: compiler.Normal, Limit: time.Second}, {Name: "b", Class: compiler.Normal, Limit: time.Second}}
+
+func route(name, host, prefix string, change ...func(*wire.Route)) wire.Route {
+	r := wire.Route{Name: name, Host: host, Prefix: prefix, Attempts: 1, Parts: []wire.Part{{Service: "a", Weight: 1}}}
+	for _, f := range change {
+		f(&r)
+	}
+	return r
+}
+
+// TestCheckRoutes guards against routes that a daemon could not follow.
+func TestCheckRoutes(t *testing.T) {
+	cases := []struct {
+		name, want string
+		change     func(*wire.Route)
+	}{
+		{"no host", "host is empty", func(r *wire.Route) { r.Host = "" }},
+		{"bare prefix", "does not begin with a slash", func(r *wire.Route) { r.Prefix = "x/" }},
+		{"long timeout", "timeout", func(r *wire.Route) { r.Timeout = compiler.MaxTimeout + 1 }},
+		{"unknown service", `"c" is not in the batch`, func(r *wire.Route) { r.Parts = []wire.Part{{Service: "c", Weight: 1}} }},
+		{"no weight", "no part has a weight", func(r *wire.Route) { r.Parts = []wire.Part{{Service: "a"}} }},
+		{"no parts", "no part has a weight", func(r *wire.Route) { r.Parts = nil }},
+		{"negative weight", "negative", func(r *wire.Route) { r.Parts = []wire.Part{{Service: "a", Weight: -1}} }},
+		{"no attempts", "attempts 0", func(r *wire.Route) { r.Attempts = 0 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			err := compiler.CheckRoutes("m", []wire.Route{route("r", "h", "/", c.change)}, routed)
+			is.True(errors.Is(err, compiler.ErrInvalid))
+			is.True(strings.Contains(err.Error(), c.want))
+		})
+	}
+	t.Run("same place", func(t *testing.T) {
+		err := compiler.CheckRoutes("m", []wire.Route{route("r", "h", "/x/"), route("s", "H", "/x/")}, routed)
+		is.New(t).True(errors.Is(err, compiler.ErrInvalid))
+	})
+}
+
+// TestRoute guards against calls that follow a shorter prefix or another host.
+func TestRoute(t *testing.T) {
+	snapshot := snapshotOf(t, 1, route("r", "h", "/"), route("s", "h", "/a/"), route("t", "h", "/a/b/"), route("u", "other", "/"))
+	for path, want := range map[string]string{"/": "r", "/a": "r", "/a/": "s", "/a/x": "s", "/a/b/c/": "t"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			found, ok := snapshot.Route("H", path)
+			is.True(ok)
+			is.Equal(found.Name, want)
+		})
+	}
+	_, ok := snapshot.Route("none", "/")
+	is.New(t).True(!ok)
+}
+
+// TestMergeRoutes guards against a delta that leaves a removed route in place.
+func TestMergeRoutes(t *testing.T) {
+	is := is.New(t)
+	old := snapshotOf(t, 1, route("r", "h", "/r/"), route("s", "h", "/s/"))
+	next := snapshotOf(t, 2, route("s", "h", "/s/", func(r *wire.Route) { r.Rank = 3 }), route("t", "h", "/t/"))
+	batch := next.Batch()
+	merged, err := old.Merge(wire.Delta{
+		From: 1, Version: 2, Sum: next.Sum(), Until: batch.Until, Routes: batch.Routes, Cut: []string{"r"},
+	})
+	is.NoErr(err)
+	is.Equal(merged.Batch().Routes, batch.Routes)
+	_, ok := merged.Route("h", "/r/")
+	is.True(!ok)
+	_, err = old.Merge(wire.Delta{From: 1, Version: 2, Sum: next.Sum(), Until: batch.Until, Routes: batch.Routes})
+	is.True(errors.Is(err, compiler.ErrInvalid)) // the checksum covers routes
+}
+
+func snapshotOf(t *testing.T, version uint64, routes ...wire.Route) *compiler.Snapshot {
+	t.Helper()
+	batch := wire.Batch{Name: "m", Version: version, Until: 1 << 50, Services: routed, Routes: routes}
+	sum, err := compiler.Sum(batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := compiler.New(batch, sum)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
--- /dev/null
+++ b/daemon/courier/client_test.go
@@ -0,0 +1,221 @@
+package courier_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/daemon/courier"
+)
+
+// upstream accepts connections and runs script for each, in order; each script gets a function that reads one request.
+func upstream(t *testing.T, scripts ...func(conn net.Conn, next func() *http.Request)) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(done)
+		var running sync.WaitGroup
+		defer running.Wait()
+		for _, script := range scripts {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+			r := bufio.NewReader(conn)
+			running.Go(func() {
+				defer stop()
+				script(conn, func() *http.Request {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return nil
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					return request
+				})
+				_ = conn.Close()
+			})
+		}
+	}()
+	t.Cleanup(func() { cancel(); _ = listener.Close(); <-done })
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func call(id string) courier.Call {
+	return courier.Call{
+		Request:    &courier.Request{Method: http.MethodGet, Target: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}},
+		EchoHeader: "Id", EchoValue: id,
+	}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// TestForeignAnswers guards against answers of other calls that are passed on: a second answer on a kept connection,
+// late or at once.
+func TestForeignAnswers(t *testing.T) {
+	t.Run("before the own one", func(t *testing.T) {
+		is := is.New(t)
+		to := upstream(t, func(conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, answer("0", "stray")+answer("1", "own"))
+			next()
+		})
+		a, err := courier.New().Do(context.Background(), to, call("1"))
+		is.NoErr(err)
+		is.Equal(string(a.Body), "own")
+	})
+	t.Run("after the own one", func(t *testing.T) {
+		is := is.New(t)
+		to := upstream(t,
+			func(conn net.Conn, next func() *http.Request) {
+				next()
+				_, _ = io.WriteString(conn, answer("1", "own")+answer("1", "again"))
+				next()
+			},
+			func(conn net.Conn, next func() *http.Request) {
+				next()
+				_, _ = io.WriteString(conn, answer("2", "fresh"))
+			},
+		)
+		c := courier.New()
+		_, err := c.Do(context.Background(), to, call("1"))
+		is.NoErr(err)
+		a, err := c.Do(context.Background(), to, call("2")) // the connection with the rest is not used again
+		is.NoErr(err)
+		is.Equal(string(a.Body), "fresh")
+	})
+	t.Run("none of its own", func(t *testing.T) {
+		is := is.New(t)
+		to := upstream(t, func(conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, answer("0", "stray"))
+		})
+		_, err := courier.New().Do(context.Background(), to, call("1"))
+		is.True(errors.Is(err, courier.ErrBroken))
+	})
+}
+
+// TestBroken guards against short answers that look whole and against a wrong word on whether a call was sent.
+func TestBroken(t *testing.T) {
+	cases := []struct {
+		name, reply string
+		want        error
+		body        string
+	}{
+		{"cut", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf", courier.ErrBroken, ""},
+		{"no answer", "", courier.ErrBroken, ""},
+		{"no protocol", "garbage\r\n\r\n", courier.ErrBroken, ""},
+		{"cut chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", courier.ErrBroken, ""},
+		{"ends with its connection", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it", nil, "all of it"},
+		{"chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwhol\r\n1\r\ne\r\n0\r\n\r\n", nil, "whole"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			to := upstream(t, func(conn net.Conn, next func() *http.Request) {
+				next()
+				_, _ = io.WriteString(conn, c.reply)
+			})
+			a, err := courier.New().Do(context.Background(), to, call("1"))
+			is.True(errors.Is(err, c.want))
+			if c.want == nil {
+				is.Equal(string(a.Body), c.body)
+			}
+		})
+	}
+	t.Run("refused connection", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		to := listener.Addr().(*net.TCPAddr).AddrPort()
+		_ = listener.Close()
+		_, err = courier.New().Do(context.Background(), to, call("1"))
+		is.New(t).True(errors.Is(err, courier.ErrUnsent))
+	})
+}
+
+// TestKept guards against calls on a connection that the other side has closed, or that was idle for longer than the
+// call permits: a reset would leave open whether the call ran.
+func TestKept(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	to := upstream(t,
+		func(conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, answer("1", "first"))
+			_ = conn.Close()
+			close(closed)
+		},
+		func(conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, answer("2", "second"))
+			next()
+		},
+		func(conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, answer("3", "third"))
+		},
+	)
+	c := courier.New()
+	_, err := c.Do(context.Background(), to, call("1"))
+	is.NoErr(err)
+	<-closed
+	a, err := c.Do(context.Background(), to, call("2"))
+	is.NoErr(err)
+	is.Equal(string(a.Body), "second")
+	young := call("3")
+	young.MaxIdle = time.Nanosecond
+	a, err = c.Do(context.Background(), to, young)
+	is.NoErr(err)
+	is.Equal(string(a.Body), "third")
+}
+
+// TestCancel guards against calls that go on at the other side after the caller has left.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	started, ended := make(chan struct{}), make(chan struct{})
+	to := upstream(t, func(_ net.Conn, next func() *http.Request) {
+		next()
+		close(started)
+		next() // returns when the connection ends
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := courier.New().Do(ctx, to, call("1"))
+	is.True(errors.Is(err, courier.ErrBroken))
+	<-ended
+}
+
+// TestPath guards against routes chosen by the query or by the host of an absolute target.
+func TestPath(t *testing.T) {
+	for target, want := range map[string]string{
+		"/a/b?x=/c/": "/a/b", "/": "/", "http://h/a/?q": "/a/", "/a%2Fb/": "/a%2Fb/", "*": "*",
+	} {
+		t.Run(strings.ReplaceAll(target, "/", "_"), func(t *testing.T) {
+			is.New(t).Equal((&courier.Request{Target: target}).Path(), want)
+		})
+	}
+}
--- /dev/null
+++ b/daemon/limiter/before_test.go
@@ -0,0 +1,38 @@
+package limiter_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/daemon/limiter"
+)
+
+// TestAcquireBefore guards against calls that are refused although a slot is free, because their latest start has
+// passed; one that would have to wait is refused at once then.
+func TestAcquireBefore(t *testing.T) {
+	is := is.New(t)
+	l := limiter.New(limiter.WithSlots(1))
+	past := time.Now().Add(-time.Second)
+	done, err := l.AcquireBefore(context.Background(), "normal", past)
+	is.NoErr(err)
+	_, err = l.AcquireBefore(context.Background(), "normal", past)
+	is.True(errors.Is(err, limiter.ErrDeadline))
+	done(limiter.OK)
+	_, err = l.AcquireBefore(context.Background(), "normal", past)
+	is.NoErr(err)
+}
+
+// TestWithoutSlowStart guards against a common restart in which all calls arrive while a quarter of the slots is open.
+func TestWithoutSlowStart(t *testing.T) {
+	is := is.New(t)
+	l := limiter.New(limiter.WithoutSlowStart())
+	l.Resize(18)
+	is.Equal(l.Limit(), 18)
+	l.Resize(0)
+	l.Resize(6)
+	is.Equal(l.Limit(), 6)
+}
--- a/daemon/pipeliner/pipeliner.go
+++ b/daemon/pipeliner/pipeliner.go
@@ -258,9 +258,9 @@
 	case err == nil:
 	case c.in.left <= 0:
 		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large"), nil
-	case isTimeout(err):
+	case isTimeout(c.in.err):
 		return nil, refuse(http.StatusRequestTimeout, "the header took too long"), nil
-	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || isReset(err):
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isLost(c.in.err):
 		return nil, nil, err
 	default:
 		return nil, refuse(http.StatusBadRequest, "malformed request: "+err.Error()), nil
@@ -341,7 +341,8 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-func isReset(err error) bool {
+// isLost reports an error of the connection.
+func isLost(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op)
 }
@@ -350,6 +351,7 @@
 type limitedReader struct {
 	r    io.Reader
 	left int64
+	err  error // of the last read; the parser of headers hides it
 }
 
 // Read reads up to the bound.
@@ -362,5 +364,6 @@
 	}
 	n, err := l.r.Read(p)
 	l.left -= int64(n)
+	l.err = err
 	return n, err
 }
