--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -47,6 +47,7 @@
 	power int   // step up to which nodes crash together
 	next  uint64
 
+	seats                            int  // most voters; 0 for no limit
 	loss, crash, partition, lostDisk int  // chances per 100,000 steps, loss per 100 packets
 	skew                             bool // clocks of different speed
 	quiet                            bool
@@ -101,6 +102,7 @@
 	st := n.disk
 	st.Entries = slices.Clone(st.Entries)
 	n.core = newCore(n.self, n.cluster, st, []netip.AddrPort{simAddr(0), simAddr(1)}, rand.New(rand.NewPCG(s.rand.Uint64(), 1)))
+	n.core.seats = s.seats
 	n.won = 0
 	n.reads, n.digest, n.booted, n.period = map[uint64]uint64{}, 0, s.now, stepsPerTick
 	if s.skew {
--- /dev/null
+++ b/daemon/dispatcher/dispatcher_test.go
@@ -0,0 +1,173 @@
+package dispatcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/courier"
+	"bluebellhoist/daemon/deliverer"
+	"bluebellhoist/daemon/dispatcher"
+)
+
+// mesh is a dispatcher whose members give scripted results, in order.
+type mesh struct {
+	*dispatcher.Dispatcher
+	results []deliverer.Result
+	orders  []deliverer.Order
+	counted int
+	budget  int
+}
+
+func newMesh(t *testing.T, routes []wire.Route, results ...deliverer.Result) *mesh {
+	t.Helper()
+	m := &mesh{results: results, budget: 10}
+	snapshot := snapshotOf(t, routes)
+	m.Dispatcher = dispatcher.New(
+		dispatcher.WithSnapshot(func() *compiler.Snapshot { return snapshot }),
+		dispatcher.WithPick(func(service string, _ []string) (wire.Member, func(dispatcher.Outcome), error) {
+			if len(m.orders) == len(m.results) {
+				return wire.Member{}, nil, errors.New("no member")
+			}
+			return wire.Member{Name: "self", Service: service}, func(dispatcher.Outcome) {}, nil
+		}),
+		dispatcher.WithLocal("self", func(_ context.Context, o deliverer.Order) deliverer.Result {
+			m.orders = append(m.orders, o)
+			return m.results[len(m.orders)-1]
+		}),
+		dispatcher.WithBudget(func(string) { m.counted++ }, func(string) bool { m.budget--; return m.budget >= 0 }),
+		dispatcher.WithCaller(func() string { return "own" }),
+	)
+	return m
+}
+
+func snapshotOf(t *testing.T, routes []wire.Route) *compiler.Snapshot {
+	t.Helper()
+	batch := wire.Batch{Name: "m", Version: 1, Until: 1 << 50, Routes: compiler.SortRoutes(routes), Services: []wire.Service{
+		{Name: "a", Class: compiler.Normal, Limit: time.Second}, {Name: "b", Class: compiler.Normal, Limit: time.Second},
+	}}
+	sum, err := compiler.Sum(batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := compiler.New(batch, sum)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func route(repeat bool, attempts int) []wire.Route {
+	return []wire.Route{{
+		Name: "r", Host: "h", Prefix: "/r/", Repeat: repeat, Attempts: attempts, Timeout: time.Minute,
+		Parts: []wire.Part{{Service: "a", Weight: 1}},
+	}}
+}
+
+func call(target string) *courier.Request {
+	return &courier.Request{Method: http.MethodGet, Target: target, Host: "h:80", Header: http.Header{}}
+}
+
+var (
+	answered = deliverer.Result{Outcome: deliverer.Answered, Arrived: true, Answer: &courier.Answer{Status: 200, Header: http.Header{}}}
+	failed   = deliverer.Result{Outcome: deliverer.Answered, Arrived: true, Answer: &courier.Answer{Status: 500, Header: http.Header{}}}
+	unknown  = deliverer.Result{Outcome: deliverer.Unknown, Arrived: true}
+	rejected = deliverer.Result{Outcome: deliverer.NotRun, Arrived: true}
+	refused  = deliverer.Result{Outcome: deliverer.NotRun}
+)
+
+// TestAttempts guards against calls that run twice although they must not, that are given up although another member
+// could take them, and against a refusal of a call that may have run.
+func TestAttempts(t *testing.T) {
+	cases := []struct {
+		name    string
+		repeat  bool
+		budget  int
+		results []deliverer.Result
+		sends   int
+		status  int
+	}{
+		{"answer", false, 9, []deliverer.Result{answered}, 1, 200},
+		{"once, unknown", false, 9, []deliverer.Result{unknown, answered}, 1, 502},
+		{"once, failed", false, 9, []deliverer.Result{failed, answered}, 1, 500},
+		{"once, rejected by the upstream", false, 9, []deliverer.Result{rejected, answered}, 2, 200},
+		{"once, refused by daemons", false, 0, []deliverer.Result{refused, refused, answered}, 3, 200},
+		{"once, refused by all", false, 9, []deliverer.Result{refused, refused}, 2, 503},
+		{"once, rejected, then unknown", false, 9, []deliverer.Result{rejected, unknown}, 2, 502},
+		{"repeat, unknown", true, 9, []deliverer.Result{unknown, answered}, 2, 200},
+		{"repeat, failed", true, 9, []deliverer.Result{failed, answered}, 2, 200},
+		{"repeat, failed twice", true, 9, []deliverer.Result{failed, failed, answered}, 2, 500},
+		{"repeat, failed, then refused", true, 9, []deliverer.Result{failed, refused}, 2, 500},
+		{"repeat, no budget", true, 0, []deliverer.Result{unknown, answered}, 1, 502},
+		{"repeat, unknown, then refused", true, 9, []deliverer.Result{unknown, refused}, 2, 502},
+		{"no member", true, 9, nil, 0, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, route(c.repeat, 2), c.results...)
+			m.budget = c.budget
+			a := m.Handle(context.Background(), call("/r/x"))
+			is.Equal(a.Status, c.status)
+			is.Equal(len(m.orders), c.sends)
+			is.Equal(m.counted, 1)
+			ran := slices.ContainsFunc(c.results[:c.sends], func(r deliverer.Result) bool { return r.Outcome != deliverer.NotRun })
+			is.True(a.Status != http.StatusServiceUnavailable || !ran)
+			is.Equal(a.Header.Get("Retry-After") != "", a.Status == http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// TestRefusals guards against a 404 while the configuration is not known, and against calls on routes that do not exist.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, route(true, 1), answered)
+	is.Equal(m.Handle(context.Background(), call("/other")).Status, http.StatusNotFound)
+	is.Equal(len(m.orders), 0)
+	empty := dispatcher.New(dispatcher.WithSnapshot(func() *compiler.Snapshot { return nil }))
+	is.Equal(empty.Handle(context.Background(), call("/r/")).Status, http.StatusServiceUnavailable)
+}
+
+// TestOrder guards against callers that choose their own identity, target or more time than the route gives.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, route(false, 1), answered)
+	r := call("/r/x")
+	names := courier.DefaultNames()
+	r.Header.Set(names.Deadline, "3600000")
+	r.Header.Set(names.Target, "i")
+	r.Header.Set(names.Caller, "somebody")
+	r.Header.Set("Bluebell-Order", "x")
+	r.Header.Set("Kept", "k")
+	m.Handle(context.Background(), r)
+	o := m.orders[0]
+	is.True(time.Until(o.Deadline) <= time.Minute)
+	is.Equal(o.Request.Header, http.Header{names.Caller: {"own"}, "Kept": {"k"}})
+	is.True(!o.Repeat)
+}
+
+// TestShare guards against parts of a route that get more or less than their weight in a short time.
+func TestShare(t *testing.T) {
+	is := is.New(t)
+	routes := route(true, 1)
+	routes[0].Parts = []wire.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}
+	var results []deliverer.Result
+	for range 50 {
+		results = append(results, answered)
+	}
+	m := newMesh(t, routes, results...)
+	got := map[string]int{}
+	for i := range 50 {
+		m.Handle(context.Background(), call(fmt.Sprint("/r/", i)))
+		got[m.orders[i].Service]++
+	}
+	is.Equal(got, map[string]int{"a": 45, "b": 5})
+}
