--- /dev/null
+++ b/core/logger/logger_test.go
@@ -0,0 +1,51 @@
+package logger_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/core/logger"
+)
+
+// blocked is an output that nobody reads.
+type blocked struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return b.Buffer.Write(p)
+}
+
+// TestBlocked guards against a process that stands still because its log is not read, and against lines that vanish
+// without a word.
+func TestBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &blocked{release: make(chan struct{})}
+		w := logger.New(out)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		for range 5000 {
+			_, err := w.Write([]byte("line\n"))
+			is.NoErr(err)
+		}
+		close(out.release)
+		time.Sleep(2 * time.Second)
+		is.Equal(strings.Count(out.String(), "line\n"), 600)
+		is.True(strings.Contains(out.String(), `"count":4400`))
+		_, err := w.Write([]byte("later\n")) // the allowance grows again
+		is.NoErr(err)
+		cancel()
+		<-done
+		is.True(strings.Contains(out.String(), "later\n"))
+	})
+}
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -25,6 +25,7 @@
 	deadline time.Time
 	patience time.Duration // how long the caller waits
 
+	again    string   // why the call was not sent again, or empty
 	arrivals int      // upstreams that were sent the call
 	asked    []string // members that were asked
 	mayRun   bool     // an attempt without a known outcome was sent
@@ -56,16 +57,25 @@
 	if len(c.asked) == 0 {
 		return true
 	}
-	if ctx.Err() != nil || len(c.asked) >= maxTries || time.Until(c.deadline) <= 0 {
-		return false
-	}
-	if c.arrivals == 0 {
+	switch {
+	case ctx.Err() != nil:
+		c.again = "caller has left"
+	case len(c.asked) >= maxTries:
+		c.again = "enough members asked"
+	case time.Until(c.deadline) <= 0:
+		c.again = "deadline passed"
+	case c.arrivals == 0:
 		return true // no upstream was sent the call
+	case c.arrivals >= c.route.Attempts:
+		c.again = "no attempts left"
+	case (c.mayRun || c.failure != nil) && !c.route.Repeat:
+		c.again = "may run only once"
+	case !c.d.take(c.service):
+		c.again = "retry budget spent"
+	default:
+		return true
 	}
-	if c.arrivals >= c.route.Attempts || (c.mayRun || c.failure != nil) && !c.route.Repeat {
-		return false
-	}
-	return c.d.take(c.service)
+	return false
 }
 
 // try sends the call to one member and returns the answer if it is final.
@@ -76,6 +86,7 @@
 		c.arrivals++
 	}
 	c.last = result
+	c.measureAttempt(result)
 	if ctx.Err() != nil && result.Outcome != deliverer.Answered {
 		kind = Canceled
 	}
@@ -172,12 +183,24 @@
 	return "bulk"
 }
 
-// report logs the end of a call that failed.
+// sampleEvery is how many calls that went well at the first attempt share one log line.
+const sampleEvery = 64
+
+// report logs the end of a call: each one that failed, was refused or took more than one attempt, and a sample of the
+// others.
 func (c *call) report(ctx context.Context, a *courier.Answer, took time.Duration) {
-	if a.Status < http.StatusInternalServerError {
+	c.measure(a.Status, took)
+	c.measureAgain()
+	well := a.Status < http.StatusInternalServerError
+	if well && len(c.asked) == 1 && c.d.good.Add(1)%sampleEvery != 0 {
 		return
 	}
-	c.d.log.Info("call failed", "id", c.id, "route", c.route.Name, "version", c.version, "service", c.service,
-		"status", a.Status, "reason", c.last.Reason, "asked", c.asked, "arrivals", c.arrivals, "gone", ctx.Err() != nil,
-		"took", took.Round(time.Millisecond), "patience", c.patience)
+	message := "call answered"
+	if !well {
+		message = "call failed"
+	}
+	c.d.log.Info(message, "id", c.id, "route", c.route.Name, "version", c.version, "service", c.service,
+		"status", a.Status, "outcome", c.last.Outcome, "reason", c.last.Reason, "load", c.last.Load, "asked", c.asked,
+		"arrivals", c.arrivals, "gone", ctx.Err() != nil, "took", took.Round(time.Millisecond).String(),
+		"patience", c.patience.String(), "target", c.route.Target.String(), "again", c.again)
 }
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -43,7 +44,8 @@
 	names    courier.Names
 	log      hclog.Logger
 
-	shares sync.Map // of *share by name of the route
+	shares sync.Map      // of *share by name of the route
+	good   atomic.Uint64 // calls that went well at the first attempt
 }
 
 // Outcome describes the end of an attempt to the picker.
