--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -181,14 +181,10 @@
 	return result
 }
 
-// urgent is the class of calls that are worth an answer after their target too. Among them are the calls that running
-// calls make: a refusal fails the running call, which has held its slot for nothing.
-const urgent = "urgent"
-
 // latest returns when a call that waits must start at the latest. A call that would be answered after its target takes
 // the slot of one that can still be answered in time, so under load it is refused while its caller can come back.
 func (d *Deliverer) latest(o Order) time.Time {
-	if o.Target.IsZero() || o.Class == urgent {
+	if o.Target.IsZero() {
 		return o.Deadline
 	}
 	start := o.Target.Add(-time.Duration(spread * float64(d.times.usual(o.Kind))))
