--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -146,8 +146,9 @@
 	started := time.Now()
 	c, refusal := d.admit(request, started)
 	if refusal != nil {
+		version, revision := d.inForce()
 		d.log.Info("call refused", "id", request.Header.Get(d.names.Attempt), "host", request.Host, "target", request.Target,
-			"status", refusal.Status, "reason", strings.TrimSpace(string(refusal.Body)))
+			"status", refusal.Status, "reason", strings.TrimSpace(string(refusal.Body)), "version", version, "revision", revision)
 		return refusal
 	}
 	answer := c.run(ctx)
@@ -155,6 +156,15 @@
 	return answer
 }
 
+// inForce returns the version and the operator's revision of the configuration, or zeros without one.
+func (d *Dispatcher) inForce() (version, revision uint64) {
+	snapshot := d.snapshot()
+	if snapshot == nil {
+		return 0, 0
+	}
+	return snapshot.Version(), snapshot.Batch().Revision
+}
+
 // restartTime is about how long a daemon takes to come back after a planned stop.
 const restartTime = time.Second
 
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -257,7 +257,7 @@
 
 func (s *Subscriber) publish(next *compiler.Snapshot) {
 	s.held.Store(next)
-	s.log.Info("snapshot in effect", "batch", s.batch, "version", next.Version())
+	s.log.Info("snapshot in effect", "batch", s.batch, "version", next.Version(), "revision", next.Batch().Revision)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
