--- a/daemon/pipeliner/pipeliner.go
+++ b/daemon/pipeliner/pipeliner.go
@@ -40,7 +40,7 @@
 	Idle   time.Duration // without a call
 }
 
-// Default bounds hold while the configuration has none.
+// defaultBounds hold while the configuration has none.
 var defaultBounds = Bounds{Header: 64 << 10, Body: 64 << 20, Wait: 10 * time.Second, Idle: time.Minute}
 
 // Server serves connections. Its methods may be called concurrently.
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -69,7 +69,6 @@
 
 // door is an address with a handler in front of the daemon.
 type door struct {
-	name    string
 	addr    netip.AddrPort
 	handler http.Handler
 }
@@ -101,8 +100,8 @@
 }
 
 // Add puts a handler at a further address. It must be called before Run.
-func (r *Runner) Add(name string, addr netip.AddrPort, handler http.Handler) {
-	r.doors = append(r.doors, door{name, addr, handler})
+func (r *Runner) Add(addr netip.AddrPort, handler http.Handler) {
+	r.doors = append(r.doors, door{addr, handler})
 }
 
 // Update takes changed settings. Addresses and names stay as they were at the start.
@@ -279,22 +278,22 @@
 	return err
 }
 
+// front is a server and the address it listens on.
+type front struct {
+	addr   netip.AddrPort
+	server *http.Server
+}
+
 // addServers opens the listeners of the settings and adds their servers to the group.
 func (r *Runner) addServers(parts context.Context, group *run.Group, s Settings) ([]*http.Server, error) {
 	peers := r.exchanger.Handler(r.peerHandler())
-	all := []struct {
-		addr   netip.AddrPort
-		server *http.Server
-	}{
+	all := []front{
 		{s.Calls, forwarder.NewCallServer(r.forwarder.Egress())},
 		{s.Peers, forwarder.NewPeerServer(peers)},
 		{s.Local, &http.Server{Handler: r.localHandler(), ReadHeaderTimeout: 5 * time.Second}},
 	}
 	for _, d := range r.doors {
-		all = append(all, struct {
-			addr   netip.AddrPort
-			server *http.Server
-		}{d.addr, &http.Server{Handler: d.handler, ReadHeaderTimeout: 5 * time.Second}})
+		all = append(all, front{d.addr, &http.Server{Handler: d.handler, ReadHeaderTimeout: 5 * time.Second}})
 	}
 	var servers []*http.Server
 	for _, a := range all {
