Take the identity of an upstream in the product's own announcement

Cause: wire.Upstream grew an id for the platform, the stand-in announces itself in that form, and the announcement refuses unknown fields: scripts/demo waited for upstreams for good. Found by running the demo; TestPutWire failed before.

--- a/daemon/announcer/announcer_test.go
+++ b/daemon/announcer/announcer_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -219,3 +220,16 @@
 	is.Equal(f.put(valid), http.StatusServiceUnavailable)
 	is.True(!f.entry().Ready)
 }
+
+// TestPutWire guards against announcements in the form of the wire type, as the stand-in sends them, that are refused
+// because the type has grown.
+func TestPutWire(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	data, err := json.Marshal(wire.Upstream{
+		ID: "i", Service: "payout", Address: netip.MustParseAddrPort("127.0.0.1:9000"), Slots: 20, Conns: 130, Start: 1,
+	})
+	is.NoErr(err)
+	status, _ := f.do(context.Background(), http.MethodPut, string(data))
+	is.Equal(status, http.StatusNoContent)
+}
--- a/daemon/announcer/api.go
+++ b/daemon/announcer/api.go
@@ -34,6 +34,7 @@
 	Slots   int    `json:"slots"`
 	Conns   int    `json:"conns"`
 	Start   int64  `json:"start"` // optional
+	ID      string `json:"id"`    // identity of the process, optional
 }
 
 type status struct {
@@ -79,7 +80,7 @@
 	if !ok {
 		return c.JSON(http.StatusNotFound, failure{"no upstream is announced"})
 	}
-	return c.JSON(http.StatusOK, status{announcement{u.Service, u.Address.String(), u.Slots, u.Conns, u.Start}, since})
+	return c.JSON(http.StatusOK, status{announcement{u.Service, u.Address.String(), u.Slots, u.Conns, u.Start, u.ID}, since})
 }
 
 // parse decodes and checks an announcement.
@@ -107,7 +108,9 @@
 	case in.Start < 0:
 		return wire.Upstream{}, fmt.Errorf("%w: start %d must be milliseconds since the Unix epoch", ErrInvalid, in.Start)
 	}
-	return wire.Upstream{Service: in.Service, Address: addr, Slots: in.Slots, Conns: in.Conns, Start: in.Start}, nil
+	return wire.Upstream{
+		Service: in.Service, Address: addr, Slots: in.Slots, Conns: in.Conns, Start: in.Start, ID: in.ID,
+	}, nil
 }
 
 // decodeError names the field where the decoder does.
