--- a/core/logger/logger_test.go
+++ b/core/logger/logger_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,12 +17,21 @@
 // blocked is an output that nobody reads.
 type blocked struct {
 	release chan struct{}
-	bytes.Buffer
+	mu      sync.Mutex
+	text    bytes.Buffer
 }
 
 func (b *blocked) Write(p []byte) (int, error) {
 	<-b.release
-	return b.Buffer.Write(p)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *blocked) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 // TestBlocked guards against a process that stands still because its log is not read, and against lines that vanish
