--- a/standin/announcer/announcer_test.go
+++ b/standin/announcer/announcer_test.go
@@ -42,7 +42,7 @@
 			)
 			is.Equal(a.Run(ctx) != nil, tt.fails)
 			is.Equal(seen, []string{
-				`PUT /v1/upstream {"address":"127.0.0.1:1","conns":3,"service":"seller","slots":2,"start":0}`,
+				`PUT /v1/upstream {"address":"127.0.0.1:1","conns":3,"id":"","service":"seller","slots":2,"start":0}`,
 				"DELETE /v1/upstream ",
 			})
 		})
