Keep the handling of headers and kept connections in one place

courier removes headers for both kinds of calls, prunes its connections itself and tells a connect that failed from a connection that was closed at the moment of sending: the latter is replaced and no longer withdraws the upstream. The time-out of a result was never read and is gone from the wire.

--- a/daemon/courier/client.go
+++ b/daemon/courier/client.go
@@ -25,6 +25,8 @@
 	// idleShare is the part of the other side's idle limit after which a connection is not used again, since the close
 	// of the other side may be on its way.
 	idleShare = 0.6
+	// sweepInterval is the time between two looks for connections that were idle for too long.
+	sweepInterval = time.Second
 	// maxStray is how many answers to other calls are skipped before the one that is waited for.
 	maxStray = 8
 )
@@ -32,6 +34,8 @@
 var (
 	// ErrUnsent reports a call of which no byte was sent.
 	ErrUnsent = errors.New("call not sent")
+	// ErrUnreachable reports an ErrUnsent because no connection could be opened.
+	ErrUnreachable = errors.New("no connection")
 	// ErrBroken reports a call that may have been received, without a whole answer to it.
 	ErrBroken = errors.New("no whole answer")
 )
@@ -87,14 +91,26 @@
 	r     *bufio.Reader
 	limit time.Duration // idle time after which it is not used again
 	since time.Time     // when it became idle
+	kept  bool          // it has carried a call before
 }
 
 // Do sends a call and returns its answer. An error wraps ErrUnsent if no byte was sent, else ErrBroken.
 func (c *Client) Do(ctx context.Context, to netip.AddrPort, call Call) (*Answer, error) {
-	conn, err := c.connect(ctx, to, call.MaxIdle)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrUnsent, err)
+	for {
+		conn, err := c.connect(ctx, to, call.MaxIdle)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w: %v", ErrUnsent, ErrUnreachable, err)
+		}
+		answer, err := c.use(ctx, to, conn, call)
+		if conn.kept && errors.Is(err, ErrUnsent) && ctx.Err() == nil {
+			continue // the other side closed it at the same moment
+		}
+		return answer, err
 	}
+}
+
+// use sends a call on a connection and keeps or closes that.
+func (c *Client) use(ctx context.Context, to netip.AddrPort, conn *conn, call Call) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	answer, err := conn.exchange(call)
 	if !stop() || err != nil || answer.Close || conn.r.Buffered() > 0 {
@@ -178,29 +194,35 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
+	c.prune(to, now)
+	list := c.idle[to]
+	n := len(list)
+	if n == 0 || maxIdle > 0 && now.Sub(list[n-1].since) > maxIdle {
+		return nil
+	}
+	c.idle[to] = list[:n-1]
+	return list[n-1]
+}
+
+func (c *Client) keep(to netip.AddrPort, conn *conn) {
+	conn.since, conn.kept = c.now(), true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[to] = append(c.idle[to], conn)
+}
+
+// prune closes the connections to an address that were idle for too long. The lock must be held.
+func (c *Client) prune(to netip.AddrPort, now time.Time) {
 	list := c.idle[to]
 	// The oldest ones come first.
 	for len(list) > 0 && now.Sub(list[0].since) > list[0].limit {
 		_ = list[0].Close()
 		list = list[1:]
 	}
-	var found *conn
-	if n := len(list); n > 0 && (maxIdle == 0 || now.Sub(list[n-1].since) <= maxIdle) {
-		found, list = list[n-1], list[:n-1]
-	}
+	c.idle[to] = list
 	if len(list) == 0 {
 		delete(c.idle, to)
-	} else {
-		c.idle[to] = list
 	}
-	return found
-}
-
-func (c *Client) keep(to netip.AddrPort, conn *conn) {
-	conn.since = c.now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle[to] = append(c.idle[to], conn)
 }
 
 // Forget closes the idle connections to an address, for example after one of them went silent.
@@ -214,26 +236,31 @@
 	}
 }
 
-// Sweep closes the connections that were idle for too long.
-func (c *Client) Sweep() {
+// Run closes connections that were idle for too long, and all idle ones when ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	defer c.close()
+	for {
+		select {
+		case <-ticker.C:
+			c.sweep()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (c *Client) sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	for to, list := range c.idle {
-		for len(list) > 0 && now.Sub(list[0].since) > list[0].limit {
-			_ = list[0].Close()
-			list = list[1:]
-		}
-		if len(list) == 0 {
-			delete(c.idle, to)
-		} else {
-			c.idle[to] = list
-		}
+	for to := range c.idle {
+		c.prune(to, now)
 	}
 }
 
-// Close closes all idle connections.
-func (c *Client) Close() {
+func (c *Client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, list := range c.idle {
--- a/daemon/courier/names.go
+++ b/daemon/courier/names.go
@@ -1,10 +1,5 @@
 package courier
 
-import (
-	"net/http"
-	"strings"
-)
-
 // Names are the headers that daemons share with callers and upstreams. An empty name means that there is no such header.
 type Names struct {
 	Attempt  string // identifies one attempt of a caller; answers of upstreams repeat it
@@ -22,14 +17,3 @@
 		Caller: "Bluebell-Caller",
 	}
 }
-
-const ownPrefix = "Bluebell-"
-
-// RemoveOwn removes the headers that only daemons set.
-func RemoveOwn(h http.Header) {
-	for name := range h {
-		if strings.HasPrefix(name, ownPrefix) {
-			delete(h, name)
-		}
-	}
-}
--- a/daemon/courier/request.go
+++ b/daemon/courier/request.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/textproto"
 	"slices"
 	"strconv"
 	"strings"
@@ -40,24 +39,6 @@
 	return path
 }
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
-// RemoveHopByHop removes the headers that concern one connection only.
-func RemoveHopByHop(h http.Header) {
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(h, name)
-	}
-}
-
 // encode returns the bytes of the request. Its header must be free of headers that concern one connection only.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
@@ -72,8 +53,12 @@
 	return b.Bytes()
 }
 
+// writeHeader writes all headers but the length, which follows from the body.
 func writeHeader(b *bytes.Buffer, h http.Header) {
 	for name, values := range h {
+		if name == "Content-Length" {
+			continue
+		}
 		for _, value := range values {
 			b.WriteString(name)
 			b.WriteString(": ")
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -55,7 +55,6 @@
 	Reason  string          // why there is no answer
 	Load    int             // calls here that are in progress or wait, after this one; negative if not known
 	Arrived bool            // the upstream was sent the call, even if it rejected it
-	Timeout bool            // the deadline passed
 }
 
 // End tells the limiter how a call ended.
@@ -123,19 +122,9 @@
 	return d
 }
 
-// Run closes connections that were idle for too long, until ctx ends.
+// Run keeps the connections to the upstream until ctx ends.
 func (d *Deliverer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	defer d.client.Close()
-	for {
-		select {
-		case <-ticker.C:
-			d.client.Sweep()
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return d.client.Run(ctx)
 }
 
 // Drain makes the deliverer refuse new calls. Those in progress go on.
@@ -160,7 +149,7 @@
 	defer cancel()
 	free, err := d.acquire(waiting, o.Class, d.latest(o))
 	if err != nil {
-		return Result{Outcome: NotRun, Reason: "no slot: " + err.Error(), Timeout: errors.Is(err, context.DeadlineExceeded)}
+		return notRun("no slot: " + err.Error())
 	}
 	// The upstream may have left or been replaced during the wait.
 	after, ok := d.upstream()
@@ -170,12 +159,12 @@
 	}
 	if left := time.Until(o.Deadline); left < minLeft {
 		free(Ignored)
-		return Result{Outcome: NotRun, Reason: "the deadline passed before the call was sent", Timeout: true}
+		return notRun("the deadline passed before the call was sent")
 	}
 	began := time.Now()
 	result, end := d.send(ctx, o, after)
 	free(end)
-	if result.Outcome == Answered || result.Timeout {
+	if end == OK || end == TimedOut {
 		d.times.add(o.Kind, time.Since(began))
 	}
 	return result
@@ -215,17 +204,17 @@
 	defer cancel()
 	answer, err := d.client.Do(ctx, u.Address, d.call(o, u))
 	switch {
-	case errors.Is(err, courier.ErrUnsent):
+	case errors.Is(err, courier.ErrUnreachable):
 		if ctx.Err() == nil {
 			d.lost(u)
 		}
 		return notRun("upstream: " + err.Error()), Ignored
+	case errors.Is(err, courier.ErrUnsent):
+		return notRun("upstream: " + err.Error()), Ignored
+	case err != nil && time.Until(o.Deadline) <= 0:
+		d.client.Forget(u.Address) // other connections may be as silent as this one
+		return Result{Outcome: Unknown, Reason: "no answer before the deadline", Arrived: true}, TimedOut
 	case err != nil:
-		late := time.Until(o.Deadline) <= 0
-		if late {
-			d.client.Forget(u.Address) // other connections may be as silent as this one
-			return Result{Outcome: Unknown, Reason: "no answer before the deadline", Arrived: true, Timeout: true}, TimedOut
-		}
 		return Result{Outcome: Unknown, Reason: "upstream: " + err.Error(), Arrived: true}, Ignored
 	}
 	return d.judge(answer)
--- a/daemon/deliverer/deliverer_test.go
+++ b/daemon/deliverer/deliverer_test.go
@@ -129,6 +129,7 @@
 			is.Equal(r.Outcome, deliverer.NotRun)
 			is.True(!r.Arrived)
 			is.Equal(runs, 0)
+			is.Equal(b.lost > 0, c.name == "refused connection") // only then the upstream is withdrawn
 		})
 	}
 	t.Run("left during the wait", func(t *testing.T) {
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -18,12 +18,12 @@
 	// headerOrder holds service, class, milliseconds until the deadline, milliseconds until the target (empty if there
 	// is none), kind, and whether the call may run more than once.
 	headerOrder = "Bluebell-Order"
-	// headerResult holds outcome, load, whether the upstream was sent the call, whether the deadline passed, and reason.
+	// headerResult holds outcome, load, whether the upstream was sent the call, and reason.
 	headerResult = "Bluebell-Result"
 
 	separator    = ";"
 	orderFields  = 6
-	resultFields = 5
+	resultFields = 4
 )
 
 // maxBody bounds the body of a call between daemons in bytes.
@@ -117,7 +117,7 @@
 		h["Date"] = nil
 	}
 	h.Set(headerResult, strings.Join([]string{
-		string(r.Outcome), strconv.Itoa(r.Load), strconv.FormatBool(r.Arrived), strconv.FormatBool(r.Timeout), r.Reason,
+		string(r.Outcome), strconv.Itoa(r.Load), strconv.FormatBool(r.Arrived), r.Reason,
 	}, separator))
 	if r.Answer == nil {
 		w.WriteHeader(status)
@@ -139,7 +139,7 @@
 		return Result{}, false
 	}
 	r := Result{
-		Outcome: Outcome(fields[0]), Load: load, Arrived: fields[2] == "true", Timeout: fields[3] == "true", Reason: fields[4],
+		Outcome: Outcome(fields[0]), Load: load, Arrived: fields[2] == "true", Reason: fields[3],
 	}
 	switch r.Outcome {
 	case Answered:
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -11,8 +11,6 @@
 	"bluebellhoist/daemon/deliverer"
 )
 
-const headerOutcome = "Bluebell-Outcome"
-
 // call is one call in progress.
 type call struct {
 	d        *Dispatcher
@@ -126,8 +124,7 @@
 	case errors.Is(err, courier.ErrUnsent):
 		return deliverer.Result{Outcome: deliverer.NotRun, Reason: err.Error(), Load: -1}, Unreachable
 	case err != nil:
-		timeout := time.Until(c.deadline) <= 0
-		return deliverer.Result{Outcome: deliverer.Unknown, Reason: err.Error(), Load: -1, Arrived: true, Timeout: timeout}, Failed
+		return deliverer.Result{Outcome: deliverer.Unknown, Reason: err.Error(), Load: -1, Arrived: true}, Failed
 	}
 	result, ok := deliverer.Unpack(answer)
 	if !ok {
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -126,19 +126,9 @@
 	return d
 }
 
-// Run closes connections that were idle for too long, until ctx ends.
+// Run keeps the connections to other daemons until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	defer d.peers.Close()
-	for {
-		select {
-		case <-ticker.C:
-			d.peers.Sweep()
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return d.peers.Run(ctx)
 }
 
 // Handle answers one call. The context ends when the caller goes away.
@@ -230,7 +220,7 @@
 
 // refuse returns an answer by the daemon itself. With a wait it tells the caller when to come back.
 func (d *Dispatcher) refuse(status int, outcome deliverer.Outcome, reason string, wait time.Duration) *courier.Answer {
-	h := http.Header{"Content-Type": {"text/plain"}, headerOutcome: {string(outcome)}}
+	h := http.Header{"Content-Type": {"text/plain"}, courier.HeaderOutcome: {string(outcome)}}
 	if wait > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/courier"
 )
 
 // errBroken reports an answer that ended before it was whole.
@@ -124,7 +125,7 @@
 	if a.trailer == nil {
 		return
 	}
-	removeOurs(*a.trailer)
+	courier.RemoveOwn(*a.trailer)
 	for name := range *a.trailer {
 		h.Add("Trailer", name)
 		h.Del("Content-Length") // HTTP/1.1 has no trailers after a body of stated length
@@ -135,7 +136,7 @@
 	if a.trailer == nil {
 		return
 	}
-	removeOurs(*a.trailer)
+	courier.RemoveOwn(*a.trailer)
 	announced := h["Trailer"]
 	for name, values := range *a.trailer {
 		if !slices.Contains(announced, name) {
--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"bluebellhoist/daemon/courier"
 )
 
 func (f *Forwarder) serveEgress(w http.ResponseWriter, r *http.Request) {
@@ -72,7 +74,7 @@
 }
 
 func (d *delivery) prepareHeader() {
-	removeOurs(d.header)
+	courier.RemoveOwn(d.header)
 	appendForwarded(d.header, d.request.RemoteAddr)
 	if d.call.key != "" {
 		d.header.Set(HeaderKey, d.call.key)
--- a/daemon/forwarder/header.go
+++ b/daemon/forwarder/header.go
@@ -3,14 +3,15 @@
 import (
 	"net"
 	"net/http"
-	"net/textproto"
 	"slices"
 	"strings"
+
+	"bluebellhoist/daemon/courier"
 )
 
 // Headers between daemons, and between daemons and their callers and upstreams.
 const (
-	HeaderOutcome  = "Bluebell-Outcome"
+	HeaderOutcome  = courier.HeaderOutcome
 	HeaderDeadline = "Bluebell-Deadline"
 	HeaderClass    = "Bluebell-Class"
 	HeaderDepth    = "Bluebell-Depth"
@@ -24,39 +25,18 @@
 
 const headerPrefix = "Bluebell-"
 
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
 // removeHopByHop removes the headers that concern one connection only. Accepting trailers is announced again, since
 // trailers are passed on.
 func removeHopByHop(h http.Header) {
 	trailers := slices.ContainsFunc(h["Te"], func(line string) bool {
 		return strings.Contains(strings.ToLower(line), "trailers")
 	})
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
+	courier.RemoveHopByHop(h)
 	if trailers {
 		h.Set("Te", "trailers")
 	}
 }
 
-// removeOurs removes the headers that only daemons may set.
-func removeOurs(h http.Header) {
-	for name := range h {
-		if strings.HasPrefix(name, headerPrefix) {
-			delete(h, name)
-		}
-	}
-}
-
 // keyHeaders are the headers for which net/http repeats requests on its own, whatever their method.
 var keyHeaders = []string{HeaderKey, "X-" + HeaderKey}
 
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -15,6 +15,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/courier"
 )
 
 // arrival is one call on the ingress side.
@@ -223,7 +224,7 @@
 		}
 		return nil, connected.Load(), err
 	}
-	removeOurs(a.header)
+	courier.RemoveOwn(a.header)
 	return a, true, nil
 }
 
--- a/daemon/pipeliner/pipeliner.go
+++ b/daemon/pipeliner/pipeliner.go
@@ -290,6 +290,7 @@
 		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is too large"), nil
 	}
 	courier.RemoveHopByHop(r.Header)
+	r.Header.Del("Expect") // met above
 	return &courier.Request{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
 		Close: r.Close || !r.ProtoAtLeast(1, 1),
