--- a/controller/main.go
+++ b/controller/main.go
@@ -13,6 +13,7 @@
 
 	"bluebellhoist/controller/runner"
 	"bluebellhoist/controller/storer"
+	"bluebellhoist/core/logger"
 )
 
 func main() {
@@ -64,10 +65,13 @@
 	if err != nil {
 		return err
 	}
-	log := hclog.New(&hclog.LoggerOptions{Name: s.Name, Level: hclog.LevelFromString(s.Level)})
-	r, err := runner.New(s, log)
-	if err != nil {
-		return err
-	}
-	return r.Run(ctx)
+	log, end := logger.Start(s.Name, hclog.LevelFromString(s.Level))
+	defer end()
+	return runner.Serve(ctx, log, func() (func(context.Context) error, error) {
+		r, err := runner.New(s, log, runner.WithFile(path, runner.Parse))
+		if err != nil {
+			return nil, err
+		}
+		return r.Run, nil
+	})
 }
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -28,6 +28,7 @@
 	"bluebellhoist/core/exchanger"
 	"bluebellhoist/core/gossiper"
 	"bluebellhoist/core/presenter"
+	"bluebellhoist/core/watcher"
 	"bluebellhoist/core/wire"
 )
 
@@ -40,6 +41,8 @@
 	stopReserve = 500 * time.Millisecond
 	// leaveLimit bounds the wait until other members of the gossip have confirmed the leave.
 	leaveLimit = time.Second
+	// headerTimeout bounds the wait for the header of a request.
+	headerTimeout = 5 * time.Second
 )
 
 // Runner is one running node.
@@ -56,6 +59,7 @@
 	expirer       *expirer.Expirer
 	exchanger     *exchanger.Exchanger // nil without gossip
 	gossiper      *gossiper.Gossiper
+	watcher       *watcher.Watcher // nil without a settings file
 	doors         []door
 }
 
@@ -65,8 +69,25 @@
 	handler http.Handler
 }
 
+// Option sets up a Runner.
+type Option func(*Runner)
+
+// WithFile makes the node follow changes of its settings file, which parse reads. Only the seeds can change while it
+// runs.
+func WithFile(path string, parse func(data []byte) (Settings, error)) Option {
+	return func(c *Runner) {
+		c.watcher = watcher.New(path, watcher.WithLogger(c.log.Named("watcher")), watcher.WithChanged(func(data []byte) error {
+			s, err := parse(data)
+			if err != nil {
+				return err
+			}
+			return c.update(s)
+		}))
+	}
+}
+
 // New opens the data folder and returns a node that Run starts. A founder makes its folder on the first start.
-func New(s Settings, log hclog.Logger) (*Runner, error) {
+func New(s Settings, log hclog.Logger, opts ...Option) (*Runner, error) {
 	if err := s.check(); err != nil {
 		return nil, err
 	}
@@ -83,14 +104,31 @@
 		log.Info("member of no cluster yet, asks its peers to join; init starts a cluster, once and on one node")
 	}
 	r := newRunner(s, store, log)
-	if s.Gossip {
-		if err := r.addGossip(); err != nil {
-			return nil, errors.Join(err, store.Close())
-		}
+	for _, opt := range opts {
+		opt(r)
+	}
+	if !s.Gossip {
+		return r, nil
+	}
+	self := wire.Member{Name: "controller " + s.Name, Domain: s.Domain, Addr: s.Listen, State: wire.Alive, Control: true}
+	if r.exchanger, r.gossiper, err = exchanger.Join(self, s.Seeds, log); err != nil {
+		return nil, errors.Join(err, store.Close())
 	}
 	return r, nil
 }
 
+// update takes changed settings.
+func (c *Runner) update(s Settings) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	if c.gossiper != nil {
+		c.gossiper.Reseed(s.Seeds)
+	}
+	c.log.Info("settings reloaded", "seeds", s.Seeds)
+	return nil
+}
+
 // Add puts a handler at a further address. It must be called before Run.
 func (c *Runner) Add(addr netip.AddrPort, handler http.Handler) {
 	c.doors = append(c.doors, door{addr, handler})
@@ -105,30 +143,6 @@
 	return errors.Join(c.run(ctx, listener), c.store.Close())
 }
 
-// addGossip makes the node a member of the daemons' gossip, so that they find each other and all controllers.
-func (c *Runner) addGossip() error {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.settings.Listen))
-	if err != nil {
-		return err
-	}
-	c.exchanger = exchanger.New(
-		exchanger.WithConn(conn),
-		exchanger.WithDeliver(func(from netip.AddrPort, data []byte) { c.gossiper.Deliver(from, data) }),
-		exchanger.WithAnswer(func(msg wire.Gossip) wire.Gossip { return c.gossiper.Answer(msg) }),
-		exchanger.WithLogger(c.log.Named("exchanger")),
-	)
-	c.gossiper = gossiper.New(
-		gossiper.WithSelf(wire.Member{
-			Name: "controller " + c.settings.Name, Domain: c.settings.Domain, Addr: c.settings.Listen, State: wire.Alive, Control: true,
-		}),
-		gossiper.WithSeeds(c.settings.Seeds),
-		gossiper.WithSend(c.exchanger.Send),
-		gossiper.WithExchange(c.exchanger.Exchange),
-		gossiper.WithLogger(c.log.Named("gossiper")),
-	)
-	return nil
-}
-
 func newRunner(s Settings, store *storer.Storer, log hclog.Logger) *Runner {
 	c := &Runner{settings: s, log: log, store: store, registrar: registrar.New()}
 	c.messenger = messenger.New(
@@ -176,36 +190,20 @@
 	defer cancel()
 	signals, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	server := &http.Server{
-		Handler:           c.handler(),
-		ReadHeaderTimeout: 5 * time.Second,
-		BaseContext:       func(net.Listener) context.Context { return parts },
-	}
-
-	// Settings of a controller hold from its start; a hangup must not end it.
-	signal.Ignore(syscall.SIGHUP)
-
 	var group run.Group
-	own := []func(context.Context) error{c.messenger.Run, c.replicator.Run, c.expirer.Run}
-	if c.gossiper != nil {
-		own = append(own, c.gossiper.Run, c.exchanger.Run)
-	}
-	for _, part := range own {
+	for _, part := range c.parts() {
 		group.Add(func() error { return part(parts) }, func(error) { cancel() })
 	}
-	group.Add(
-		func() error { return server.Serve(listener) },
-		func(error) { _ = server.Close() },
-	)
-	servers := []*http.Server{server}
-	for _, d := range c.doors {
+	servers := []*http.Server{addServer(parts, &group, listener, c.handler())}
+	for _, d := range append([]door{{c.settings.Metrics, c.metricsHandler()}}, c.doors...) {
+		if !d.addr.IsValid() {
+			continue
+		}
 		open, err := net.Listen("tcp", d.addr.String())
 		if err != nil {
 			return errors.Join(err, listener.Close())
 		}
-		front := &http.Server{Handler: d.handler, ReadHeaderTimeout: 5 * time.Second}
-		servers = append(servers, front)
-		group.Add(func() error { return front.Serve(open) }, func(error) { _ = front.Close() })
+		servers = append(servers, addServer(parts, &group, open, d.handler))
 	}
 	group.Add(func() error {
 		<-signals.Done()
@@ -219,6 +217,29 @@
 	return err
 }
 
+// parts returns what runs as long as the node.
+func (c *Runner) parts() []func(context.Context) error {
+	all := []func(context.Context) error{c.messenger.Run, c.replicator.Run, c.expirer.Run}
+	if c.gossiper != nil {
+		all = append(all, c.gossiper.Run, c.exchanger.Run)
+	}
+	if c.watcher != nil {
+		all = append(all, c.watcher.Run)
+	}
+	return all
+}
+
+// addServer adds a server to the group. The contexts of its requests end with parts.
+func addServer(parts context.Context, group *run.Group, listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return parts },
+	}
+	group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+	return server
+}
+
 // stop hands over leadership and the daemons, and lets requests end.
 func (c *Runner) stop(servers []*http.Server) error {
 	limit := stopLimit
@@ -254,7 +275,7 @@
 	c.administrator.Register(e)
 	e.GET("/v1/session", echo.WrapHandler(c.distributor))
 	e.GET("/v1/peer", echo.WrapHandler(c.messenger))
-	e.GET("/metrics", echo.WrapHandler(c.Metrics()))
+	e.GET("/metrics", echo.WrapHandler(c.metricsHandler()))
 	if c.exchanger != nil {
 		return c.exchanger.Handler(e)
 	}
@@ -307,8 +328,8 @@
 	return c.registrar.View(), nil
 }
 
-// Metrics returns the handler that shows the metrics of the process as text.
-func (c *Runner) Metrics() http.Handler {
+// metricsHandler shows the metrics of the process as text.
+func (c *Runner) metricsHandler() http.Handler {
 	set := c.gauges()
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
--- a/controller/runner/settings.go
+++ b/controller/runner/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"os"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -25,16 +26,30 @@
 	// Founders are the listen addresses of the first voters, on the first start of the whole cluster only. The name of a
 	// founder is its address.
 	Founders []netip.AddrPort `json:"founders"`
-	Seats    int              `json:"seats"`  // most voters; 0 for no limit
-	Gossip   bool             `json:"gossip"` // whether daemons may find each other through this node
-	Seeds    []netip.AddrPort `json:"seeds"`  // addresses of other members of the gossip
-	Grace    loader.Duration  `json:"grace"`  // longest time of a planned stop; optional
+	Seats    int              `json:"seats"`   // most voters; 0 for no limit
+	Gossip   bool             `json:"gossip"`  // whether daemons may find each other through this node
+	Seeds    []netip.AddrPort `json:"seeds"`   // addresses of other members of the gossip
+	Grace    loader.Duration  `json:"grace"`   // longest time of a planned stop; optional
+	Metrics  netip.AddrPort   `json:"metrics"` // further address for the metrics; optional
 }
 
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%w: %v", errSettings, err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks the text of a settings file.
+func Parse(data []byte) (Settings, error) {
 	s := Settings{Level: "info"}
-	if err := loader.File(path, &s); err != nil {
+	if err := loader.Text(data, &s); err != nil {
 		return s, fmt.Errorf("%w: %v", errSettings, err)
 	}
 	return s, s.check()
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -132,6 +132,11 @@
 	g.do(func() { g.update(change) })
 }
 
+// Reseed replaces the addresses through which the daemon joins and finds others again.
+func (g *Gossiper) Reseed(seeds []netip.AddrPort) {
+	g.do(func() { g.seeds = seeds })
+}
+
 // Deliver takes one datagram. It drops malformed ones, and any while too many wait.
 func (g *Gossiper) Deliver(from netip.AddrPort, data []byte) {
 	msg, err := decode(data)
--- a/core/logger/logger.go
+++ b/core/logger/logger.go
@@ -6,8 +6,11 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
 )
 
 const (
@@ -50,6 +53,19 @@
 	return w
 }
 
+// Start returns a logger that writes JSON lines to standard output, and a function that writes what is queued and ends it.
+func Start(name string, level hclog.Level) (log hclog.Logger, end func()) {
+	w := New(os.Stdout)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- w.Run(ctx) }()
+	log = hclog.New(&hclog.LoggerOptions{Name: name, Level: level, Output: w, JSONFormat: true})
+	return log, func() {
+		cancel()
+		<-ended
+	}
+}
+
 // Write queues one line, or drops and counts it.
 func (w *Writer) Write(line []byte) (int, error) {
 	if !w.admit() {
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -12,6 +12,7 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
+	"bluebellhoist/core/logger"
 	"bluebellhoist/daemon/runner"
 )
 
@@ -49,8 +50,9 @@
 	if err != nil {
 		return err
 	}
-	log := hclog.New(&hclog.LoggerOptions{Name: s.Name, Level: hclog.LevelFromString(s.Level)})
-	r, err := runner.New(s, log)
+	log, end := logger.Start(s.Name, hclog.LevelFromString(s.Level))
+	defer end()
+	r, err := runner.New(s, log, runner.WithFile(path, runner.Parse))
 	if err != nil {
 		return err
 	}
--- a/daemon/runner/adapters.go
+++ b/daemon/runner/adapters.go
@@ -53,8 +53,8 @@
 	return func(o forwarder.Outcome) { done(limiterOutcomes[o.Result]) }, nil
 }
 
-// update spreads a change of the local upstream and sets the slots.
-func (r *Runner) update(change func(*wire.Member)) {
+// updateMember spreads a change of the local upstream and sets the slots.
+func (r *Runner) updateMember(change func(*wire.Member)) {
 	var m wire.Member
 	change(&m)
 	if m.Ready {
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -20,6 +20,7 @@
 
 	"bluebellhoist/core/exchanger"
 	"bluebellhoist/core/gossiper"
+	"bluebellhoist/core/watcher"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/announcer"
 	"bluebellhoist/daemon/budgeter"
@@ -38,6 +39,12 @@
 // and a VM without power does not refuse it.
 const peerDialTimeout = 300 * time.Millisecond
 
+// defaultConns is the number of connections to an upstream that neither itself nor the configuration tells.
+const defaultConns = 64
+
+// headerTimeout bounds the wait for the header of a request to the daemon itself.
+const headerTimeout = 5 * time.Second
+
 // beatsMissed is how many reports of the upstream may be missing before it counts as gone.
 const beatsMissed = 5
 
@@ -46,7 +53,6 @@
 	settings   atomic.Pointer[Settings]
 	log        hclog.Logger
 	names      courier.Names
-	gossip     *net.UDPConn
 	subscriber *subscriber.Subscriber
 	claimer    *claimer.Claimer
 	exchanger  *exchanger.Exchanger
@@ -59,7 +65,8 @@
 	deliverer  *deliverer.Deliverer
 	dispatcher *dispatcher.Dispatcher
 	pipeliner  *pipeliner.Server
-	since      atomic.Int64 // start of the local upstream, as announced
+	watcher    *watcher.Watcher // nil without a settings file
+	since      atomic.Int64     // start of the local upstream, as announced
 	stopping   atomic.Bool
 	refusing   atomic.Bool  // routed calls of callers are refused, since the daemon ends soon
 	calls      atomic.Int64 // routed calls of callers in progress
@@ -81,20 +88,34 @@
 	return func(r *Runner) { r.names = names }
 }
 
+// WithFile makes the daemon follow changes of its settings file, which parse reads.
+func WithFile(path string, parse func(data []byte) (Settings, error)) Option {
+	return func(r *Runner) {
+		r.watcher = watcher.New(path, watcher.WithLogger(r.log.Named("watcher")), watcher.WithChanged(func(data []byte) error {
+			s, err := parse(data)
+			if err != nil {
+				return err
+			}
+			return r.update(s)
+		}))
+	}
+}
+
 // New returns a daemon that Run starts. It opens the socket for gossip.
 func New(s Settings, log hclog.Logger, opts ...Option) (*Runner, error) {
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	gossip, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Peers))
-	if err != nil {
-		return nil, err
-	}
-	r := &Runner{log: log, names: courier.DefaultNames(), gossip: gossip}
+	r := &Runner{log: log, names: courier.DefaultNames()}
 	for _, opt := range opts {
 		opt(r)
 	}
 	r.settings.Store(&s)
+	self := wire.Member{Name: s.Name, Domain: s.Domain, Addr: s.Peers, State: wire.Alive}
+	var err error
+	if r.exchanger, r.gossiper, err = exchanger.Join(self, s.Seeds, log); err != nil {
+		return nil, err
+	}
 	r.build(s)
 	return r, nil
 }
@@ -104,13 +125,14 @@
 	r.doors = append(r.doors, door{addr, handler})
 }
 
-// Update takes changed settings. Addresses and names stay as they were at the start.
-func (r *Runner) Update(s Settings) error {
+// update takes changed settings. Addresses and names stay as they were at the start.
+func (r *Runner) update(s Settings) error {
 	if err := s.check(); err != nil {
 		return err
 	}
 	r.settings.Store(&s)
-	r.log.Info("settings reloaded")
+	r.gossiper.Reseed(s.Seeds)
+	r.log.Info("settings reloaded", "service", s.Service, "seeds", s.Seeds, "budget", s.Budget)
 	return nil
 }
 
@@ -119,18 +141,23 @@
 	return r.subscriber.Held() != nil && !r.stopping.Load()
 }
 
-// Report takes a report of the local upstream.
+// Report takes a report of the local upstream. If it does not tell how many connections the upstream takes, the
+// configuration does.
 func (r *Runner) Report(report announcer.Report) error {
+	if report.Upstream.Conns == 0 {
+		report.Upstream.Conns = r.conns(report.Upstream.Service)
+	}
 	return r.announcer.Report(report)
 }
 
-// Conns returns how many connections an upstream of the service takes, or 0 if the configuration does not tell.
-func (r *Runner) Conns(service string) int {
+// conns returns how many connections an upstream of the service takes.
+func (r *Runner) conns(service string) int {
 	if held := r.subscriber.Held(); held != nil {
-		s, _ := held.Service(service)
-		return s.Conns
+		if s, ok := held.Service(service); ok && s.Conns > 0 {
+			return s.Conns
+		}
 	}
-	return 0
+	return defaultConns
 }
 
 func (r *Runner) build(s Settings) {
@@ -143,19 +170,6 @@
 		subscriber.WithLogger(r.log.Named("subscriber")),
 	)
 	r.claimer = claimer.New(claimer.WithRequest(r.subscriber.Request))
-	r.exchanger = exchanger.New(
-		exchanger.WithConn(r.gossip),
-		exchanger.WithDeliver(func(from netip.AddrPort, data []byte) { r.gossiper.Deliver(from, data) }),
-		exchanger.WithAnswer(func(msg wire.Gossip) wire.Gossip { return r.gossiper.Answer(msg) }),
-		exchanger.WithLogger(r.log.Named("exchanger")),
-	)
-	r.gossiper = gossiper.New(
-		gossiper.WithSelf(wire.Member{Name: s.Name, Domain: s.Domain, Addr: s.Peers, State: wire.Alive}),
-		gossiper.WithSeeds(s.Seeds),
-		gossiper.WithSend(r.exchanger.Send),
-		gossiper.WithExchange(r.exchanger.Exchange),
-		gossiper.WithLogger(r.log.Named("gossiper")),
-	)
 	var slots []limiter.Option
 	if s.Routes.IsValid() {
 		// After a common restart the calls of all daemons arrive at once.
@@ -164,7 +178,7 @@
 	r.limiter = limiter.New(slots...)
 	r.router = router.New(router.WithMembers(r.gossiper.Members), router.WithDomain(s.Domain))
 	r.announcer = announcer.New(
-		announcer.WithUpdate(r.update),
+		announcer.WithUpdate(r.updateMember),
 		announcer.WithDrained(r.drained),
 		announcer.WithLifetime(lifetime(s)),
 		announcer.WithLogger(r.log.Named("announcer")),
@@ -250,9 +264,13 @@
 	defer stop()
 
 	var group run.Group
-	for _, part := range []func(context.Context) error{
+	all := []func(context.Context) error{
 		r.subscriber.Run, r.claimer.Run, r.gossiper.Run, r.exchanger.Run, r.announcer.Run, r.deliverer.Run, r.dispatcher.Run,
-	} {
+	}
+	if r.watcher != nil {
+		all = append(all, r.watcher.Run)
+	}
+	for _, part := range all {
 		group.Add(func() error { return part(parts) }, func(error) { cancel() })
 	}
 	servers, err := r.addServers(parts, &group, s)
@@ -290,10 +308,10 @@
 	all := []front{
 		{s.Calls, forwarder.NewCallServer(r.forwarder.Egress())},
 		{s.Peers, forwarder.NewPeerServer(peers)},
-		{s.Local, &http.Server{Handler: r.localHandler(), ReadHeaderTimeout: 5 * time.Second}},
 	}
-	for _, d := range r.doors {
-		all = append(all, front{d.addr, &http.Server{Handler: d.handler, ReadHeaderTimeout: 5 * time.Second}})
+	own := []door{{s.Local, r.localHandler()}, {s.Metrics, r.metricsHandler()}}
+	for _, d := range append(own, r.doors...) {
+		all = append(all, front{d.addr, &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout}})
 	}
 	var servers []*http.Server
 	for _, a := range all {
@@ -332,12 +350,12 @@
 	e := echo.New()
 	r.announcer.Register(e)
 	e.GET("/v1/status", r.getStatus)
-	e.GET("/metrics", echo.WrapHandler(r.Metrics()))
+	e.GET("/metrics", echo.WrapHandler(r.metricsHandler()))
 	return e
 }
 
-// Metrics returns the handler that shows the metrics of the process as text.
-func (r *Runner) Metrics() http.Handler {
+// metricsHandler shows the metrics of the process as text.
+func (r *Runner) metricsHandler() http.Handler {
 	set := r.gauges()
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
--- a/daemon/runner/settings.go
+++ b/daemon/runner/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -30,9 +31,10 @@
 	Controllers []subscriber.Controller `json:"controllers"`
 	Data        string                  `json:"data"`
 	Level       string                  `json:"level"`
-	Budget      Budget                  `json:"budget"` // optional
-	Grace       loader.Duration         `json:"grace"`  // longest time of a planned stop; optional
-	Beat        loader.Duration         `json:"beat"`   // period of the upstream's reports; optional
+	Budget      Budget                  `json:"budget"`  // optional
+	Grace       loader.Duration         `json:"grace"`   // longest time of a planned stop; optional
+	Beat        loader.Duration         `json:"beat"`    // period of the upstream's reports; optional
+	Metrics     netip.AddrPort          `json:"metrics"` // further address for the metrics; optional
 }
 
 // Budget limits the repeats of all daemons together.
@@ -52,8 +54,21 @@
 
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%w: %v", errSettings, err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks the text of a settings file.
+func Parse(data []byte) (Settings, error) {
 	s := Settings{Level: "info"}
-	if err := loader.File(path, &s); err != nil {
+	if err := loader.Text(data, &s); err != nil {
 		return s, fmt.Errorf("%w: %v", errSettings, err)
 	}
 	return s, s.check()
--- a/daemon/runner/stop.go
+++ b/daemon/runner/stop.go
@@ -21,33 +21,48 @@
 	awayTime = 2 * time.Second
 	// quietTime is how long no caller must have sent a routed call before a stopping daemon ends.
 	quietTime = 300 * time.Millisecond
-	// acceptShare is the part of the grace after which a stopping daemon refuses routed calls, since they might not end
+	// acceptShare is the part of the limit after which a stopping daemon refuses routed calls, since they might not end
 	// in time.
 	acceptShare = 0.45
 	// stopPoll is the time between two looks at the calls in progress.
 	stopPoll = 20 * time.Millisecond
 )
 
-// stop leaves the mesh and returns once every call in progress has ended.
-func (r *Runner) stop(servers ...*http.Server) error {
-	grace := time.Duration(r.settings.Load().Grace)
-	limit := stopLimit
+// stopPlan tells when a stopping daemon does what, counted from the moment at which it was told to stop.
+type stopPlan struct {
+	leave  time.Duration // the upstream is withdrawn and other daemons are told
+	refuse time.Duration // routed calls of callers are refused
+	end    time.Duration // the process ends, also if calls are in progress
+}
+
+// planStop returns the plan for a daemon with or without routed calls. Callers on routes move away only after they have
+// seen that the daemon is not ready, so it serves on until then, if the grace permits.
+func planStop(grace time.Duration, routes bool) stopPlan {
+	plan := stopPlan{end: stopLimit}
 	if grace > 0 {
-		limit = grace - stopReserve
+		plan.end = max(grace-stopReserve, 0)
 	}
-	r.log.Info("stopping", "limit", limit)
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	if routes {
+		plan.refuse = time.Duration(acceptShare * float64(plan.end))
+		plan.leave = min(awayTime, plan.refuse)
+	}
+	return plan
+}
+
+// stop leaves the mesh and returns once every call in progress has ended.
+func (r *Runner) stop(servers ...*http.Server) error {
+	s := r.settings.Load()
+	plan := planStop(time.Duration(s.Grace), s.Routes.IsValid())
+	r.log.Info("stopping", "limit", plan.end.String())
+	ctx, cancel := context.WithTimeout(context.Background(), plan.end)
 	defer cancel()
 	r.stopping.Store(true)
 	r.pipeliner.Drain()
-	routes := r.settings.Load().Routes.IsValid()
-	if routes {
-		wait(ctx, awayTime)
-		refuse := time.AfterFunc(time.Duration(acceptShare*float64(limit))-awayTime, func() { r.refusing.Store(true) })
-		defer refuse.Stop()
-	}
+	refuse := time.AfterFunc(plan.refuse, func() { r.refusing.Store(true) })
+	defer refuse.Stop()
+	wait(ctx, plan.leave)
 	r.leave(ctx)
-	if routes {
+	if s.Routes.IsValid() {
 		r.awaitQuiet(ctx)
 	} else {
 		// Daemons that have not heard of the leave yet get refusals as not run instead of closed connections.
--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -24,7 +24,7 @@
   "peers": ["127.0.0.1:7101", "127.0.0.1:7102", "127.0.0.1:7103"]
 }
 JSON
-  "$bin/controller" --settings "$out/c$1.json" run 2>>"$out/c$1.log" &
+  "$bin/controller" --settings "$out/c$1.json" run >>"$out/c$1.log" 2>&1 &
   pids[c$1]=$!
 }
 
@@ -57,7 +57,7 @@
   done)]
 }
 JSON
-  "$bin/daemon" --settings "$out/d$1.json" 2>>"$out/d$1.log" &
+  "$bin/daemon" --settings "$out/d$1.json" >>"$out/d$1.log" 2>&1 &
   pids[d$1]=$!
 }
 
