--- a/daemon/budgeter/budgeter_test.go
+++ b/daemon/budgeter/budgeter_test.go
@@ -11,6 +11,18 @@
 	"bluebellhoist/daemon/budgeter"
 )
 
+// newDaemons returns the budgets of daemons that share the limits.
+func newDaemons(count int, limits budgeter.Limits, now func() time.Time) (all []*budgeter.Budgeter) {
+	for range count {
+		all = append(all, budgeter.New(
+			budgeter.WithLimits(func() budgeter.Limits { return limits }),
+			budgeter.WithMembers(func() int { return count }),
+			budgeter.WithClock(now),
+		))
+	}
+	return all
+}
+
 // TestShared guards against daemons that together repeat more calls than the limits allow in any window. It plays
 // daemons with calls at random that each want to repeat every call.
 func TestShared(t *testing.T) {
@@ -20,14 +32,7 @@
 			random := rand.New(rand.NewPCG(seed, 0))
 			now := time.Unix(1000, 0)
 			const daemons = 12
-			var all []*budgeter.Budgeter
-			for range daemons {
-				all = append(all, budgeter.New(
-					budgeter.WithLimits(func() budgeter.Limits { return limits }),
-					budgeter.WithMembers(func() int { return daemons }),
-					budgeter.WithClock(func() time.Time { return now }),
-				))
-			}
+			all := newDaemons(daemons, limits, func() time.Time { return now })
 			var calls, repeats []time.Time
 			for range 20_000 {
 				now = now.Add(time.Duration(random.IntN(4)) * time.Millisecond)
@@ -71,14 +76,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
 			now := time.Unix(1000, 0)
-			var all []*budgeter.Budgeter
-			for range daemons {
-				all = append(all, budgeter.New(
-					budgeter.WithLimits(func() budgeter.Limits { return limits }),
-					budgeter.WithMembers(func() int { return daemons }),
-					budgeter.WithClock(func() time.Time { return now }),
-				))
-			}
+			all := newDaemons(daemons, limits, func() time.Time { return now })
 			var calls, repeats []time.Time
 			// Every call wants to be sent again, as when an upstream rejects most of them.
 			callS := func(repeated bool) {
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
@@ -157,28 +158,36 @@
 	return c.d.refuse(http.StatusServiceUnavailable, deliverer.NotRun, c.last.Reason, c.returnAfter())
 }
 
-// returnAfter tells a refused caller when to come back: after a part of the time that it has left, so that the second
-// try still has time to run.
+const (
+	// returnPart is the part of its time after which a refused caller comes back, so that the second try still has time
+	// to run.
+	returnPart = 0.2
+	// returnLeast and returnMost bound that wait.
+	returnLeast = 20 * time.Millisecond
+	returnMost  = time.Second
+)
+
+// returnAfter tells a refused caller when to come back.
 func (c *call) returnAfter() time.Duration {
-	const (
-		part    = 5
-		longest = time.Second
-		least   = 20 * time.Millisecond
-	)
 	left := c.patience - time.Since(c.started)
-	return max(least, min(left/part, longest))
+	return max(returnLeast, min(time.Duration(returnPart*float64(left)), returnMost))
 }
 
+// Lowest ranks of the classes; rank 0 is the most urgent.
+const (
+	urgentRank = 1
+	normalRank = 2
+)
+
 // class returns the priority class for the rank of the route.
 func (c *call) class() string {
-	const urgent, normal = 1, 2
 	switch {
-	case c.route.Rank <= urgent:
-		return "urgent"
-	case c.route.Rank <= normal:
-		return "normal"
+	case c.route.Rank <= urgentRank:
+		return compiler.Urgent
+	case c.route.Rank <= normalRank:
+		return compiler.Normal
 	}
-	return "bulk"
+	return compiler.Bulk
 }
 
 // sampleEvery is how many calls that went well at the first attempt share one log line.
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -155,7 +155,7 @@
 	return snapshot.Version(), snapshot.Batch().Revision
 }
 
-// restartTime is about how long a daemon takes to come back after a planned stop.
+// restartTime is about how long a daemon takes to come back after a planned stop, and to get the configuration.
 const restartTime = time.Second
 
 // Refuse returns the answer to a call that is not taken because the daemon stops.
@@ -168,7 +168,7 @@
 	snapshot := d.snapshot()
 	switch {
 	case snapshot == nil:
-		return nil, d.refuse(http.StatusServiceUnavailable, deliverer.NotRun, "no configuration yet", time.Second)
+		return nil, d.refuse(http.StatusServiceUnavailable, deliverer.NotRun, "no configuration yet", restartTime)
 	case !snapshot.Covers(now):
 		return nil, d.refuse(http.StatusGone, deliverer.NotRun, "batch "+snapshot.Batch().Name+" has expired", 0)
 	}
--- a/daemon/runner/adapters.go
+++ b/daemon/runner/adapters.go
@@ -33,6 +33,23 @@
 	forwarder.Unreachable: limiter.Ignored,
 }
 
+var routedKinds = map[dispatcher.Kind]router.Kind{
+	dispatcher.OK:          router.OK,
+	dispatcher.Failed:      router.Failed,
+	dispatcher.Rejected:    router.Rejected,
+	dispatcher.Unreachable: router.Unreachable,
+	dispatcher.Canceled:    router.Canceled,
+}
+
+// routedEnds keeps all announced slots open: an upstream that rejects calls although no more are sent to it than it has
+// slots, or that is slow, gains nothing from fewer calls, since nobody else sends any.
+var routedEnds = map[deliverer.End]limiter.Outcome{
+	deliverer.OK:         limiter.OK,
+	deliverer.Overloaded: limiter.Ignored,
+	deliverer.TimedOut:   limiter.OK,
+	deliverer.Ignored:    limiter.Ignored,
+}
+
 // pick selects a member for the forwarder and passes its outcomes to the router.
 func (r *Runner) pick(service string, skip []string) (wire.Member, func(forwarder.Outcome), error) {
 	member, done, err := r.router.Pick(service, skip)
@@ -106,30 +123,20 @@
 
 // pickRouted selects a member for a routed call.
 func (r *Runner) pickRouted(service string, skip []string) (wire.Member, func(dispatcher.Outcome), error) {
-	kinds := map[dispatcher.Kind]router.Kind{
-		dispatcher.OK: router.OK, dispatcher.Failed: router.Failed, dispatcher.Rejected: router.Rejected,
-		dispatcher.Unreachable: router.Unreachable, dispatcher.Canceled: router.Canceled,
-	}
 	member, done, err := r.router.Pick(service, skip)
 	if err != nil {
 		return wire.Member{}, nil, err
 	}
 	return member, func(o dispatcher.Outcome) {
-		done(router.Outcome{Kind: kinds[o.Kind], Latency: o.Latency, Load: o.Load})
+		done(router.Outcome{Kind: routedKinds[o.Kind], Latency: o.Latency, Load: o.Load})
 	}, nil
 }
 
 // acquireRouted takes a slot for a routed call.
 func (r *Runner) acquireRouted(ctx context.Context, class string, latest time.Time) (func(deliverer.End), error) {
-	// An upstream that rejects calls although no more are sent to it than it has slots, or that is slow, gains nothing
-	// from fewer calls, since nobody else sends any.
-	ends := map[deliverer.End]limiter.Outcome{
-		deliverer.OK: limiter.OK, deliverer.Overloaded: limiter.Ignored, deliverer.TimedOut: limiter.OK,
-		deliverer.Ignored: limiter.Ignored,
-	}
 	done, err := r.limiter.AcquireBefore(ctx, class, latest)
 	if err != nil {
 		return nil, err
 	}
-	return func(end deliverer.End) { done(ends[end]) }, nil
+	return func(end deliverer.End) { done(routedEnds[end]) }, nil
 }
