Write routes and bounds in the operators' own text

bluebellctl prints them with a batch, so that they survive being edited and applied. A batch that another interface numbers by revision is not changed by this text, which would have dropped its routes.

--- a/bluebellctl/batch.go
+++ b/bluebellctl/batch.go
@@ -42,35 +42,63 @@
 	}
 }
 
+// textBatch is a batch in the operators' text.
+type textBatch struct {
+	Base     uint64                 `json:"base"`
+	Until    time.Time              `json:"until"`
+	Services map[string]textService `json:"services"`
+	Routes   map[string]textRoute   `json:"routes,omitempty"`
+	Bounds   *presenter.Bounds      `json:"bounds,omitempty"`
+}
+
+type textService struct {
+	Needs []string `json:"needs"`
+	Class string   `json:"class"`
+	Once  bool     `json:"once"`
+	Limit string   `json:"limit"`
+	Conns int      `json:"conns,omitempty"`
+}
+
+type textRoute struct {
+	Host     string         `json:"host"`
+	Prefix   string         `json:"prefix"`
+	Parts    map[string]int `json:"parts"`
+	Repeat   bool           `json:"repeat"`
+	Timeout  string         `json:"timeout"`
+	Target   string         `json:"target"`
+	Rank     int            `json:"rank"`
+	Attempts int            `json:"attempts"`
+}
+
 // format returns the operators' text of b. Its base is the version of b.
 func format(b presenter.Batch) ([]byte, error) {
-	type textService struct {
-		Needs []string `json:"needs"`
-		Class string   `json:"class"`
-		Once  bool     `json:"once"`
-		Limit string   `json:"limit"`
-	}
-	services := make(map[string]textService, len(b.Services))
+	batch := textBatch{Base: b.Version, Until: b.Until, Services: make(map[string]textService, len(b.Services)), Bounds: b.Bounds}
 	for _, s := range b.Services {
 		needs := s.Needs
 		if needs == nil {
 			needs = []string{}
 		}
-		services[s.Name] = textService{Needs: needs, Class: s.Class, Once: s.Once, Limit: s.Limit}
+		batch.Services[s.Name] = textService{Needs: needs, Class: s.Class, Once: s.Once, Limit: s.Limit, Conns: s.Conns}
 	}
-	type textBatch struct {
-		Base     uint64                 `json:"base"`
-		Until    time.Time              `json:"until"`
-		Services map[string]textService `json:"services"`
+	if len(b.Routes) > 0 {
+		batch.Routes = make(map[string]textRoute, len(b.Routes))
+	}
+	for _, r := range b.Routes {
+		batch.Routes[r.Name] = textRoute{
+			Host: r.Host, Prefix: r.Prefix, Parts: r.Parts, Repeat: r.Repeat, Timeout: r.Timeout, Target: r.Target,
+			Rank: r.Rank, Attempts: r.Attempts,
+		}
 	}
-	text := map[string]map[string]textBatch{"batches": {b.Name: {b.Version, b.Until, services}}}
 	var out bytes.Buffer
 	if b.Lapsed {
 		fmt.Fprintf(&out, "// Batch %s has lapsed: set until to a future time and list its services again.\n", b.Name)
 	}
+	if b.Revision != 0 {
+		fmt.Fprintf(&out, "// Batch %s is at revision %d of another interface and can only be changed through that one.\n", b.Name, b.Revision)
+	}
 	encoder := json.NewEncoder(&out)
 	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(text); err != nil {
+	if err := encoder.Encode(map[string]map[string]textBatch{"batches": {b.Name: batch}}); err != nil {
 		return nil, err
 	}
 	return out.Bytes(), nil
--- a/bluebellctl/main_test.go
+++ b/bluebellctl/main_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
@@ -195,3 +196,25 @@
 	t.Cleanup(server.Close)
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
+
+// TestFormatRoutes guards against a batch that loses its routes when it is printed, edited and applied.
+func TestFormatRoutes(t *testing.T) {
+	is := is.New(t)
+	text := `{"batches": {"counter": {"base": 0, "until": "2999-01-01T00:00:00Z", "services": {"stock": {"conns": 9}},
+		"routes": {"r": {"host": "h", "prefix": "/", "parts": {"stock": 1}, "timeout": "1s", "rank": 1, "attempts": 2}},
+		"bounds": {"header": 1024, "body": 2048, "wait": "3s", "idle": "15s"}}}}`
+	edits, err := compiler.Parse([]byte(text), time.Now())
+	is.NoErr(err)
+	printed, err := format(presenter.Batch{
+		Name: "counter", Until: time.UnixMilli(edits[0].Until).UTC(),
+		Services: []presenter.Service{{Name: "stock", Class: "normal", Limit: "10s", Conns: 9}},
+		Routes: []presenter.Route{{
+			Name: "r", Host: "h", Prefix: "/", Parts: map[string]int{"stock": 1}, Timeout: "1s", Target: "0s", Rank: 1, Attempts: 2,
+		}},
+		Bounds: &presenter.Bounds{Header: 1024, Body: 2048, Wait: "3s", Idle: "15s"},
+	})
+	is.NoErr(err)
+	again, err := compiler.Parse(printed, time.Now())
+	is.NoErr(err)
+	is.True(reflect.DeepEqual(again, edits))
+}
--- a/controller/administrator/queries.go
+++ b/controller/administrator/queries.go
@@ -66,13 +66,33 @@
 		Until:    time.UnixMilli(b.Until).UTC(),
 		Lapsed:   b.Lapsed,
 		Services: make([]presenter.Service, 0, len(b.Services)),
+		Revision: b.Revision,
 	}
 	for _, s := range b.Services {
 		needs := s.Needs
 		if needs == nil {
 			needs = []string{}
 		}
-		out.Services = append(out.Services, presenter.Service{Name: s.Name, Needs: needs, Class: s.Class, Once: s.Once, Limit: s.Limit.String()})
+		out.Services = append(out.Services, presenter.Service{Name: s.Name, Needs: needs, Class: s.Class, Once: s.Once, Limit: s.Limit.String(), Conns: s.Conns})
+	}
+	for _, r := range b.Routes {
+		out.Routes = append(out.Routes, routeOf(r))
+	}
+	if b.Bounds != nil {
+		out.Bounds = &presenter.Bounds{
+			Header: b.Bounds.Header, Body: b.Bounds.Body, Wait: b.Bounds.Wait.String(), Idle: b.Bounds.Idle.String(),
+		}
+	}
+	return out
+}
+
+func routeOf(r wire.Route) presenter.Route {
+	out := presenter.Route{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Parts: make(map[string]int, len(r.Parts)), Repeat: r.Repeat,
+		Timeout: r.Timeout.String(), Target: r.Target.String(), Rank: r.Rank, Attempts: r.Attempts,
+	}
+	for _, p := range r.Parts {
+		out.Parts[p.Service] += p.Weight
 	}
 	return out
 }
--- a/controller/registrar/change.go
+++ b/controller/registrar/change.go
@@ -62,6 +62,9 @@
 	if e.Drop && (!exists || len(old.Services) == 0 && old.Lapsed) {
 		return wire.Result{Code: presenter.CodeMissing, Error: fmt.Sprintf("batch %q does not exist", e.Name)}
 	}
+	if e.Revision == 0 && old.Revision != 0 && !old.Lapsed {
+		return invalid(fmt.Errorf("batch %q is at revision %d and can only be changed with a higher one", e.Name, old.Revision))
+	}
 	if e.Revision != 0 {
 		if result := checkRevision(e, old); result.Code != "" {
 			return result
--- a/controller/registrar/revision_test.go
+++ b/controller/registrar/revision_test.go
@@ -42,6 +42,22 @@
 	is.Equal(string(r.View().Source("m")), "two")
 }
 
+// TestWithoutRevision guards against a change that drops the routes of a batch which another interface keeps by
+// revision.
+func TestWithoutRevision(t *testing.T) {
+	is := is.New(t)
+	r := registrar.New()
+	r.Apply(revise("one", 0, 5, "r"))
+	plain := revise("plain", 0, 0)
+	plain.Change.Edits[0].Base = 1
+	is.Equal(r.Apply(plain).Code, presenter.CodeInvalid)
+	dropped := wire.Command{At: 1, Change: &wire.Change{ID: "drop", Edits: []wire.Edit{{Name: "m", Base: 1, Drop: true}}}}
+	is.Equal(r.Apply(dropped).Code, presenter.CodeInvalid)
+	batch, ok := r.View().Batch("m")
+	is.True(ok)
+	is.Equal(len(batch.Routes), 1)
+}
+
 // TestRouteDelta guards against daemons that keep a removed route, or get all routes with each change.
 func TestRouteDelta(t *testing.T) {
 	is := is.New(t)
--- a/core/compiler/routes_test.go
+++ b/core/compiler/routes_test.go
@@ -96,3 +96,38 @@
 	}
 	return s
 }
+
+// TestParseRoutes guards against routes of the operators' text that lose a field or are taken although they lead nowhere.
+func TestParseRoutes(t *testing.T) {
+	text := func(route string) []byte {
+		return []byte(`{"batches": {"m": {"base": 0, "until": "2100-01-01T00:00:00Z", "services": {"a": {"conns": 7}, "b": {}},
+			"routes": {"r": ` + route + `}, "bounds": {"header": 1024, "body": 2048, "wait": "3s", "idle": "15s"}}}}`)
+	}
+	const whole = `{"host": "h", "prefix": "/r/", "parts": {"a": 90, "b": 10}, "repeat": true, "timeout": "1s", "target": "300ms",
+		"rank": 2, "attempts": 2}`
+	t.Run("whole", func(t *testing.T) {
+		is := is.New(t)
+		edits, err := compiler.Parse(text(whole), now)
+		is.NoErr(err)
+		is.Equal(edits[0].Services[0].Conns, 7)
+		is.Equal(*edits[0].Bounds, wire.Bounds{Header: 1024, Body: 2048, Wait: 3 * time.Second, Idle: 15 * time.Second})
+		is.Equal(edits[0].Routes, []wire.Route{{
+			Name: "r", Host: "h", Prefix: "/r/", Repeat: true, Timeout: time.Second, Target: 300 * time.Millisecond, Rank: 2,
+			Attempts: 2, Parts: []wire.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}},
+		}})
+	})
+	for name, change := range map[string][2]string{
+		"unknown service": {`"b": 10`, `"c": 10`},
+		"no host":         {`"host": "h"`, `"host": ""`},
+		"timeout":         {`"1s"`, `"soon"`},
+		"unknown field":   {`"rank"`, `"order"`},
+		"bounds":          {`"3s"`, `"0s"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			changed := strings.Replace(string(text(whole)), change[0], change[1], 1)
+			_, err := compiler.Parse([]byte(changed), now)
+			is := is.New(t)
+			is.True(errors.Is(err, compiler.ErrInvalid))
+		})
+	}
+}
--- a/core/compiler/text.go
+++ b/core/compiler/text.go
@@ -24,6 +24,8 @@
 	Base     uint64                 `json:"base"`
 	Until    time.Time              `json:"until"`
 	Services map[string]textService `json:"services"`
+	Routes   map[string]textRoute   `json:"routes"`
+	Bounds   *textBounds            `json:"bounds"`
 }
 
 type textService struct {
@@ -31,6 +33,7 @@
 	Class string   `json:"class"`
 	Once  bool     `json:"once"`
 	Limit string   `json:"limit"`
+	Conns int      `json:"conns"`
 }
 
 type textDrop struct {
@@ -79,7 +82,17 @@
 		}
 		edit.Services = append(edit.Services, s)
 	}
-	return edit, Check(name, edit.Services)
+	if err := Check(name, edit.Services); err != nil {
+		return wire.Edit{}, err
+	}
+	var err error
+	if edit.Routes, err = parseRoutes(name, b.Routes); err != nil {
+		return wire.Edit{}, err
+	}
+	if edit.Bounds, err = b.Bounds.parse(name); err != nil {
+		return wire.Edit{}, err
+	}
+	return edit, CheckRoutes(name, edit.Routes, edit.Services)
 }
 
 func parseService(batch, name string, s textService) (wire.Service, error) {
@@ -102,5 +115,6 @@
 		Class: class,
 		Once:  s.Once,
 		Limit: limit,
+		Conns: max(s.Conns, 0),
 	}, nil
 }
--- a/core/presenter/presenter.go
+++ b/core/presenter/presenter.go
@@ -31,6 +31,31 @@
 	Until    time.Time `json:"until"`
 	Lapsed   bool      `json:"lapsed"`
 	Services []Service `json:"services"`
+	Routes   []Route   `json:"routes,omitempty"`
+	Bounds   *Bounds   `json:"bounds,omitempty"`
+	// Revision is the operator's own version number; a batch that has one is changed through the interface that set it.
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// Route is a route of a batch.
+type Route struct {
+	Name     string         `json:"name"`
+	Host     string         `json:"host"`
+	Prefix   string         `json:"prefix"`
+	Parts    map[string]int `json:"parts"`
+	Repeat   bool           `json:"repeat"`
+	Timeout  string         `json:"timeout"`
+	Target   string         `json:"target"`
+	Rank     int            `json:"rank"`
+	Attempts int            `json:"attempts"`
+}
+
+// Bounds limits what callers on the routes of a batch may send.
+type Bounds struct {
+	Header int    `json:"header"` // bytes
+	Body   int    `json:"body"`   // bytes
+	Wait   string `json:"wait"`
+	Idle   string `json:"idle"`
 }
 
 // Service is a service of a batch.
@@ -40,6 +65,7 @@
 	Class string   `json:"class"`
 	Once  bool     `json:"once"`
 	Limit string   `json:"limit"`
+	Conns int      `json:"conns,omitempty"`
 }
 
 // Status is the state of one controller.
