Recover sooner after a common restart: fewer changes applied again, beats during the first read

Meanwhile the first reads of 64 daemons waited without a frame, so their sessions closed after 1.5 s of silence and came again, and the leader lost its lead over the work. A checkpoint is now also made after 512 KiB of entries, a checksum is computed when it is asked for, sessions beat while a read waits, and large frames are compressed. TestLargeCommands fails without the limit in bytes.

--- a/controller/distributor/distributor_test.go
+++ b/controller/distributor/distributor_test.go
@@ -15,6 +15,7 @@
 	"bluebellhoist/controller/registrar"
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/framer"
 	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
@@ -28,6 +29,7 @@
 	server    *httptest.Server
 	barrier   atomic.Pointer[error]
 	barriers  atomic.Int64
+	hold      chan struct{} // barriers wait until it is closed; nil for none
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -41,6 +43,9 @@
 		}),
 		distributor.WithBarrier(func(context.Context) error {
 			f.barriers.Add(1)
+			if f.hold != nil {
+				<-f.hold
+			}
 			if err := f.barrier.Load(); err != nil {
 				return *err
 			}
@@ -96,13 +101,33 @@
 		var frame wire.Frame
 		_, data, err := d.conn.Read(d.t.Context())
 		is.New(d.t).NoErr(err)
-		is.New(d.t).NoErr(encoder.Unmarshal(data, &frame))
+		frame, err = framer.Decode(data)
+		is.New(d.t).NoErr(err)
 		if frame.Beat == nil {
 			return frame
 		}
 	}
 }
 
+// TestBusyBarrier guards against daemons that leave a node which is busy after a common restart, because it is silent while
+// their first read waits.
+func TestBusyBarrier(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.hold = make(chan struct{})
+	f.change(t, "1", "a")
+	d := f.connect(t, wire.Hello{Name: "d1", Barrier: true})
+	for range 2 { // the barrier still waits
+		_, data, err := d.conn.Read(t.Context())
+		is.NoErr(err)
+		frame, err := framer.Decode(data)
+		is.NoErr(err)
+		is.True(frame.Beat != nil)
+	}
+	close(f.hold)
+	is.True(d.next().Full != nil)
+}
+
 // TestCatchUp guards against a daemon that reconnects after many changes and misses one, or gets more than it lacks.
 func TestCatchUp(t *testing.T) {
 	is := is.New(t)
--- a/controller/distributor/frames.go
+++ b/controller/distributor/frames.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"bluebellhoist/controller/registrar"
-	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/framer"
 )
 
 // frames caches encoded updates of one view, so that a storm of
@@ -35,7 +35,7 @@
 	if !ok {
 		return nil, nil
 	}
-	data, err := encoder.Marshal(frame)
+	data, err := framer.Encode(frame)
 	if err != nil {
 		return nil, err
 	}
--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -159,15 +159,36 @@
 	if !hello.Barrier {
 		return hello.Held, s.conn.Send(ctx, wire.Frame{Beat: &wire.Beat{Version: hello.Held, Fresh: s.d.fresh()}})
 	}
-	barrierCtx, cancel := context.WithTimeout(ctx, barrierTimeout)
-	defer cancel()
-	if err := s.d.barrier(barrierCtx); err != nil {
+	if err := s.awaitBarrier(ctx, hello); err != nil {
 		_ = s.conn.Send(ctx, wire.Frame{Error: "no majority: " + err.Error()})
 		return 0, fmt.Errorf("%w: barrier: %v", framer.ErrSession, err)
 	}
 	return hello.Held, s.conn.Send(ctx, wire.Frame{Beat: &wire.Beat{Version: hello.Held, Fresh: true}})
 }
 
+// awaitBarrier waits for the barrier and sends beats meanwhile. Without them the daemon would take a node that is busy
+// after a common restart for a silent one, and its next attempt would keep the node busy.
+func (s *session) awaitBarrier(ctx context.Context, hello wire.Hello) error {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- s.d.barrier(ctx) }()
+	beats := time.NewTicker(framer.BeatInterval)
+	defer beats.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-beats.C:
+		}
+		if err := s.conn.Send(ctx, wire.Frame{Beat: &wire.Beat{Version: hello.Held, Fresh: s.d.fresh()}}); err != nil {
+			cancel()
+			<-done
+			return err
+		}
+	}
+}
+
 // update sends what the daemon lacks and returns the version that it will then hold.
 func (s *session) update(ctx context.Context, hello wire.Hello, sent uint64) (uint64, error) {
 	view := s.d.view()
--- a/controller/registrar/view.go
+++ b/controller/registrar/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"bluebellhoist/core/compiler"
@@ -19,7 +20,8 @@
 
 type viewed struct {
 	batch wire.Batch // without the source
-	sum   uint64
+	// sum returns the checksum of the batch. It is computed when a daemon needs it, not for each change of a replay.
+	sum func() uint64
 	// source is the operator's own text, compressed.
 	source []byte
 }
@@ -36,11 +38,13 @@
 			v.batches[name] = old.batches[name]
 			continue
 		}
-		// Sum fails only on types that cannot be encoded, and a batch has none.
-		sum, _ := compiler.Sum(batch)
 		source := batch.Source
 		batch.Source = nil
-		v.batches[name] = viewed{batch, sum, source}
+		v.batches[name] = viewed{batch, sync.OnceValue(func() uint64 {
+			// Sum fails only on types that cannot be encoded, and a batch has none.
+			sum, _ := compiler.Sum(batch)
+			return sum
+		}), source}
 	}
 	return v
 }
@@ -83,9 +87,9 @@
 		return wire.Frame{}, false
 	}
 	if full || held == 0 || held+Horizon < v.version {
-		return wire.Frame{Full: &wire.Full{Sum: b.sum, Batch: b.batch}}, true
+		return wire.Frame{Full: &wire.Full{Sum: b.sum(), Batch: b.batch}}, true
 	}
-	delta := &wire.Delta{From: held, Version: b.batch.Version, Sum: b.sum, Until: b.batch.Until, Lapsed: b.batch.Lapsed,
+	delta := &wire.Delta{From: held, Version: b.batch.Version, Sum: b.sum(), Until: b.batch.Until, Lapsed: b.batch.Lapsed,
 		Bounds: b.batch.Bounds, Revision: b.batch.Revision}
 	for _, s := range b.batch.Services {
 		if s.Mod > held {
--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -34,7 +34,9 @@
 	entryOverhead = 32        // estimated encoded size of an entry without its data
 	caughtUp      = 1024      // entries that a learner may be behind when it is promoted: about what one sync holds
 	compactEvery  = 8192      // entries between checkpoints
+	compactBytes  = 512 << 10 // entries applied since the last checkpoint; a slow VM applies so much in about half a second
 	keepEntries   = 2048      // entries kept before a checkpoint, so that slow followers need no state snapshot
+	keepBytes     = 256 << 10 // data of the entries kept
 )
 
 type role string
@@ -332,7 +334,7 @@
 
 // compact makes a checkpoint of the delivered entries and returns it with the record that replaces the durable log.
 func (c *core) compact(state []byte) (wire.Checkpoint, wire.Record) {
-	c.log.compact(state, keepEntries)
+	c.log.compact(state, keepEntries, keepBytes)
 	return c.log.checkpoint, wire.Record{
 		Term: c.term, Vote: c.vote, Base: c.log.base, Prior: c.log.prior, Entries: c.log.entries,
 	}
--- a/controller/replicator/log.go
+++ b/controller/replicator/log.go
@@ -92,14 +92,23 @@
 }
 
 // compact makes a checkpoint of the delivered entries and drops all but the last keep of them.
-func (l *raftLog) compact(state []byte, keep uint64) {
+// compact makes state the checkpoint of the delivered entries and drops those before it, but for the last ones: at most
+// keep entries with at most bytes of data.
+func (l *raftLog) compact(state []byte, keep uint64, bytes int) {
 	term, _ := l.term(l.delivered)
 	nodes, _ := l.nodesAt(l.delivered)
 	l.checkpoint = wire.Checkpoint{Index: l.delivered, Term: term, Nodes: nodes, Data: state}
-	if l.delivered <= l.base+keep {
+	base := l.delivered
+	for base > l.base && l.delivered-base < keep {
+		bytes -= len(l.entries[base-l.base-1].Data)
+		if bytes < 0 {
+			break
+		}
+		base--
+	}
+	if base == l.base {
 		return
 	}
-	base := l.delivered - keep
 	prior, _ := l.term(base)
 	l.entries = append([]wire.Entry(nil), l.after(base)...)
 	l.base, l.prior = base, prior
--- a/controller/replicator/replicator.go
+++ b/controller/replicator/replicator.go
@@ -49,6 +49,7 @@
 	ticked   uint64
 	nextID   uint64
 	waiters  map[uint64]*request
+	applied  int // bytes of entries since the last checkpoint
 	transfer []*request
 }
 
@@ -173,6 +174,7 @@
 	}
 	r.sendAll(out.late)
 	if out.install != nil {
+		r.applied = 0
 		if err := r.restore(out.install.Data); err != nil {
 			return fmt.Errorf("%w: %w", ErrState, err)
 		}
@@ -219,6 +221,7 @@
 	if len(item.Data) == 0 {
 		return nil
 	}
+	r.applied += len(item.Data)
 	cmd, err := decodeCommand(item.Data)
 	if err != nil {
 		return fmt.Errorf("%w: entry %d: %w", ErrFault, item.Index, err)
@@ -245,11 +248,14 @@
 	r.send(to.node.Addr, p)
 }
 
-// compact makes a checkpoint when enough entries were applied since the last one and the log has grown larger than it,
-// so that a large state is not written again and again.
+// compact makes a checkpoint when enough was applied since the last one: entries if the log has grown larger than that,
+// or bytes if there are few large entries, which take long to apply again after a restart. A large state is not written
+// again and again.
 func (r *Replicator) compact() error {
 	l := r.core.log
-	if l.delivered < l.checkpoint.Index+compactEvery || r.store.LogSize() < int64(len(l.checkpoint.Data)) {
+	size := len(l.checkpoint.Data)
+	entries := l.delivered >= l.checkpoint.Index+compactEvery && r.store.LogSize() >= int64(size)
+	if !entries && r.applied < max(compactBytes, 2*size) {
 		return nil
 	}
 	state, err := r.save()
@@ -259,6 +265,7 @@
 	if err := r.store.Compact(r.core.compact(state)); err != nil {
 		return fmt.Errorf("%w: %w", ErrStorage, err)
 	}
+	r.applied = 0
 	r.log.Info("log compacted", "index", l.checkpoint.Index, "bytes", len(state))
 	return nil
 }
--- a/controller/replicator/replicator_test.go
+++ b/controller/replicator/replicator_test.go
@@ -197,6 +197,34 @@
 	})
 }
 
+// TestLargeCommands guards against a restart that applies hundreds of large changes again before the node can answer.
+func TestLargeCommands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			size  = 64 << 10 // bytes of one command, which cannot be compressed
+			count = 100
+			most  = 2 << 20 / size // commands that a start applies
+		)
+		is := is.New(t)
+		g := start(t, 1)
+		defer func() { g.stop() }()
+		random := rand.NewChaCha8([32]byte{})
+		for range count {
+			cmd := wire.Command{Finish: &wire.Claim{Body: make([]byte, size)}}
+			_, _ = random.Read(cmd.Finish.Body) // it always fills the slice
+			_, err := g.nodes[addr(0)].Propose(t.Context(), cmd)
+			is.NoErr(err)
+		}
+		g.stop()
+		last := g.last[0]
+		g.last[0] = 0
+		g.run(t, 0)
+		is.NoErr(g.nodes[addr(0)].Barrier(t.Context()))
+		is.Equal(g.last[0], last)
+		is.True(last-g.from[0] <= most)
+	})
+}
+
 // BenchmarkPropose measures proposals per second with real syncs.
 func BenchmarkPropose(b *testing.B) {
 	for _, c := range []struct{ count, state int }{{1, 0}, {3, 0}, {3, 64 << 20}} {
--- a/controller/replicator/simnode_test.go
+++ b/controller/replicator/simnode_test.go
@@ -157,7 +157,7 @@
 		return
 	}
 	state := binary.LittleEndian.AppendUint64(make([]byte, partBytes), n.digest)
-	l.compact(state, 10)
+	l.compact(state, 10, 1<<20)
 	n.disk.Checkpoint, n.disk.Base, n.disk.Prior = l.checkpoint, l.base, l.prior
 	n.disk.Entries = slices.Clone(l.entries)
 }
--- a/core/framer/framer.go
+++ b/core/framer/framer.go
@@ -57,13 +57,56 @@
 
 // Send encodes and sends one frame.
 func (f *Framer) Send(ctx context.Context, frame wire.Frame) error {
-	data, err := encoder.Marshal(frame)
+	data, err := Encode(frame)
 	if err != nil {
-		return fmt.Errorf("%w: %v", ErrSession, err)
+		return err
 	}
 	return f.SendEncoded(ctx, data)
 }
 
+// packFrom is the encoded size in bytes from which a frame is compressed. Small frames gain nothing.
+const packFrom = 1 << 10
+
+// Encode returns the bytes of a frame, compressed if it is large: after a common restart all daemons ask for the whole
+// configuration at once.
+func Encode(frame wire.Frame) ([]byte, error) {
+	data, err := encoder.Marshal(frame)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	if len(data) < packFrom {
+		return data, nil
+	}
+	packed, err := encoder.Pack(data)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	if data, err = encoder.Marshal(wire.Frame{Packed: packed}); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	return data, nil
+}
+
+// Decode returns the frame in data.
+func Decode(data []byte) (wire.Frame, error) {
+	var frame wire.Frame
+	if err := encoder.Unmarshal(data, &frame); err != nil {
+		return frame, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	if frame.Packed == nil {
+		return frame, nil
+	}
+	plain, err := encoder.Unpack(frame.Packed)
+	if err != nil {
+		return frame, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	frame = wire.Frame{}
+	if err := encoder.Unmarshal(plain, &frame); err != nil {
+		return frame, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	return frame, nil
+}
+
 // SendEncoded sends one frame that is encoded already.
 func (f *Framer) SendEncoded(ctx context.Context, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -79,16 +122,12 @@
 func (f *Framer) Receive(ctx context.Context) (wire.Frame, error) {
 	ctx, cancel := context.WithTimeout(ctx, SilenceLimit)
 	defer cancel()
-	var frame wire.Frame
 	_, data, err := f.conn.Read(ctx)
 	if err != nil {
-		return frame, fmt.Errorf("%w: %v", ErrSession, err)
+		return wire.Frame{}, fmt.Errorf("%w: %v", ErrSession, err)
 	}
 	f.got(len(data))
-	if err := encoder.Unmarshal(data, &frame); err != nil {
-		return frame, fmt.Errorf("%w: %v", ErrSession, err)
-	}
-	return frame, nil
+	return Decode(data)
 }
 
 // Close ends the connection at once.
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -262,6 +262,9 @@
 	// Number that pairs a request with its answer.
 	ID uint64 `json:"id"`
 
+	// A large frame, encoded and compressed.
+	Packed []byte `json:"packed"`
+
 	// Release corresponds to the JSON schema field "release".
 	Release *Claim `json:"release,omitempty,omitzero"`
 
