Open connections between processes in one place; listen at another address than others use

Address translation between VMs, and a relay between processes of a test, need a node that listens at one address and tells others another. Connections start at the address to listen on, so that a relay can tell who opened them.

--- a/controller/messenger/messenger.go
+++ b/controller/messenger/messenger.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -34,6 +35,7 @@
 // Messenger sends packets to peers and receives theirs.
 type Messenger struct {
 	deliver  func(wire.Packet)
+	client   *http.Client
 	log      hclog.Logger
 	outgoing chan outgoing
 }
@@ -51,6 +53,11 @@
 	return func(m *Messenger) { m.deliver = deliver }
 }
 
+// WithDial sets the function that opens connections to peers.
+func WithDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
+	return func(m *Messenger) { m.client = &http.Client{Transport: &http.Transport{DialContext: dial}} }
+}
+
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) Option {
 	return func(m *Messenger) { m.log = log }
@@ -60,6 +67,7 @@
 func New(opts ...Option) *Messenger {
 	m := &Messenger{
 		deliver:  func(wire.Packet) {},
+		client:   http.DefaultClient,
 		log:      hclog.NewNullLogger(),
 		outgoing: make(chan outgoing, queueLimit),
 	}
@@ -137,7 +145,7 @@
 func (m *Messenger) connect(ctx context.Context, to netip.AddrPort, queue chan wire.Packet) error {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+to.String()+"/v1/peer", nil)
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+to.String()+"/v1/peer", &websocket.DialOptions{HTTPClient: m.client})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrPeer, err)
 	}
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -25,6 +25,7 @@
 	"bluebellhoist/controller/registrar"
 	"bluebellhoist/controller/replicator"
 	"bluebellhoist/controller/storer"
+	"bluebellhoist/core/connector"
 	"bluebellhoist/core/exchanger"
 	"bluebellhoist/core/gossiper"
 	"bluebellhoist/core/presenter"
@@ -111,7 +112,8 @@
 		return r, nil
 	}
 	self := wire.Member{Name: "controller " + s.Name, Domain: s.Domain, Addr: s.Listen, State: wire.Alive, Control: true}
-	if r.exchanger, r.gossiper, err = exchanger.Join(self, s.Seeds, log); err != nil {
+	place := exchanger.Place{Bind: s.bind(), Dial: connector.New(connector.WithSource(s.Bind.Addr())).DialText}
+	if r.exchanger, r.gossiper, err = exchanger.Join(self, place, s.Seeds, log); err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
 	return r, nil
@@ -136,7 +138,7 @@
 
 // Run runs the node until ctx ends or the process is told to stop, and closes the data folder.
 func (c *Runner) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", c.settings.Listen.String())
+	listener, err := net.Listen("tcp", c.settings.bind().String())
 	if err != nil {
 		return errors.Join(err, c.store.Close())
 	}
@@ -147,6 +149,7 @@
 	c := &Runner{settings: s, log: log, store: store, registrar: registrar.New()}
 	c.messenger = messenger.New(
 		messenger.WithDeliver(func(p wire.Packet) { c.replicator.Deliver(p) }),
+		messenger.WithDial(connector.New(connector.WithSource(s.Bind.Addr())).DialText),
 		messenger.WithLogger(log.Named("messenger")),
 	)
 	c.send = c.messenger.Send
--- a/controller/runner/settings.go
+++ b/controller/runner/settings.go
@@ -19,6 +19,7 @@
 	Name   string           `json:"name"`
 	Domain string           `json:"domain"`
 	Listen netip.AddrPort   `json:"listen"`
+	Bind   netip.AddrPort   `json:"bind"` // where to listen, if others use another address; optional
 	Peers  []netip.AddrPort `json:"peers"`
 	Data   string           `json:"data"`
 	Voter  bool             `json:"voter"`
@@ -33,6 +34,14 @@
 	Metrics  netip.AddrPort   `json:"metrics"` // further address for the metrics; optional
 }
 
+// bind returns the address to listen on.
+func (s Settings) bind() netip.AddrPort {
+	if s.Bind.IsValid() {
+		return s.Bind
+	}
+	return s.Listen
+}
+
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
--- /dev/null
+++ b/core/connector/connector_test.go
@@ -0,0 +1,48 @@
+package connector_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+
+	"bluebellhoist/core/connector"
+)
+
+// TestDial guards against connections that start at an address which other VMs do not know, and against silent ones that
+// stay open.
+func TestDial(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	source := netip.MustParseAddr("127.0.9.1")
+	c := connector.New(connector.WithSource(source), connector.WithSilence(1500*time.Millisecond))
+	conn, err := c.Dial(context.Background(), netip.MustParseAddrPort(listener.Addr().String()))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.Equal(conn.LocalAddr().(*net.TCPAddr).AddrPort().Addr(), source)
+	is.Equal(userTimeout(t, conn.(*net.TCPConn)), 1500)
+}
+
+func userTimeout(t *testing.T, conn *net.TCPConn) int {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var value int
+	var got error
+	err = raw.Control(func(fd uintptr) {
+		value, got = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	})
+	if err != nil || got != nil {
+		t.Fatal(err, got)
+	}
+	return value
+}
--- a/core/exchanger/exchanger.go
+++ b/core/exchanger/exchanger.go
@@ -40,11 +40,12 @@
 
 // Exchanger sends and receives gossip.
 type Exchanger struct {
-	conn    *net.UDPConn
-	deliver func(netip.AddrPort, []byte)
-	answer  func(wire.Gossip) wire.Gossip
-	client  *http.Client
-	log     hclog.Logger
+	conn      *net.UDPConn
+	deliver   func(netip.AddrPort, []byte)
+	answer    func(wire.Gossip) wire.Gossip
+	transport *http.Transport
+	client    *http.Client
+	log       hclog.Logger
 }
 
 // Option sets up an Exchanger.
@@ -55,6 +56,11 @@
 	return func(e *Exchanger) { e.conn = conn }
 }
 
+// WithDial sets the function that opens connections for exchanges.
+func WithDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
+	return func(e *Exchanger) { e.transport.DialContext = dial }
+}
+
 // WithDeliver sets the function that takes datagrams.
 func WithDeliver(deliver func(netip.AddrPort, []byte)) Option {
 	return func(e *Exchanger) { e.deliver = deliver }
@@ -75,8 +81,9 @@
 	e := &Exchanger{
 		log: hclog.NewNullLogger(),
 		// An exchange uses a new connection, since the next one goes to another daemon.
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: exchangeTimeout},
+		transport: &http.Transport{DisableKeepAlives: true},
 	}
+	e.client = &http.Client{Transport: e.transport, Timeout: exchangeTimeout}
 	for _, opt := range opts {
 		opt(e)
 	}
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -12,8 +12,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/connector"
 	"bluebellhoist/core/wire"
-	"bluebellhoist/daemon/courier"
 )
 
 // Values of HeaderOutcome.
@@ -144,6 +144,11 @@
 	return func(f *Forwarder) { f.dial, f.dialPeer = dial, dial }
 }
 
+// WithDialPeer replaces the TCP dialer to other daemons.
+func WithDialPeer(dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)) Option {
+	return func(f *Forwarder) { f.dialPeer = dial }
+}
+
 // WithMetrics sets the set that receives the metrics.
 func WithMetrics(set *metrics.Set) Option {
 	return func(f *Forwarder) { f.set = set }
@@ -165,7 +170,7 @@
 		release:  func(wire.Claim) {},
 		finish:   func(wire.Claim) {},
 		dial:     dialTCP,
-		dialPeer: courier.DialPeer,
+		dialPeer: connector.New(connector.WithSilence(connector.SilenceLimit)).Dial,
 		set:      metrics.GetDefaultSet(),
 	}
 	for _, opt := range opts {
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -18,6 +18,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 
+	"bluebellhoist/core/connector"
 	"bluebellhoist/core/exchanger"
 	"bluebellhoist/core/gossiper"
 	"bluebellhoist/core/watcher"
@@ -112,8 +113,9 @@
 	}
 	r.settings.Store(&s)
 	self := wire.Member{Name: s.Name, Domain: s.Domain, Addr: s.Peers, State: wire.Alive}
+	place := exchanger.Place{Bind: s.bind(), Dial: connector.New(connector.WithSource(s.Bind.Addr())).DialText}
 	var err error
-	if r.exchanger, r.gossiper, err = exchanger.Join(self, s.Seeds, log); err != nil {
+	if r.exchanger, r.gossiper, err = exchanger.Join(self, place, s.Seeds, log); err != nil {
 		return nil, err
 	}
 	r.build(s)
@@ -161,12 +163,14 @@
 }
 
 func (r *Runner) build(s Settings) {
+	peers := connector.New(connector.WithSource(s.Bind.Addr()), connector.WithSilence(connector.SilenceLimit))
 	r.subscriber = subscriber.New(
 		subscriber.WithName(s.Name, s.Domain, s.Batch),
 		subscriber.WithRegion(s.Region),
 		subscriber.WithControllers(s.Controllers...),
 		subscriber.WithSource(r.controllers),
 		subscriber.WithFolder(s.Data),
+		subscriber.WithDial(connector.New(connector.WithSource(s.Bind.Addr())).Dial),
 		subscriber.WithLogger(r.log.Named("subscriber")),
 	)
 	r.claimer = claimer.New(claimer.WithRequest(r.subscriber.Request))
@@ -192,12 +196,13 @@
 		forwarder.WithClaim(r.claimer.Claim),
 		forwarder.WithRelease(r.claimer.Release),
 		forwarder.WithFinish(r.claimer.Finish),
+		forwarder.WithDialPeer(peers.Dial),
 	)
-	r.buildRoutes(s)
+	r.buildRoutes(s, peers)
 }
 
 // buildRoutes makes the parts that carry calls on routes.
-func (r *Runner) buildRoutes(s Settings) {
+func (r *Runner) buildRoutes(s Settings, peers *connector.Connector) {
 	r.budgeter = budgeter.New(
 		budgeter.WithLimits(func() budgeter.Limits { return r.settings.Load().Budget.limits() }),
 		budgeter.WithMembers(r.daemons),
@@ -215,7 +220,7 @@
 		dispatcher.WithLocal(s.Name, r.deliverer.Deliver),
 		dispatcher.WithCaller(func() string { return r.settings.Load().Service }),
 		dispatcher.WithBudget(r.budgeter.Count, r.budgeter.Take),
-		dispatcher.WithDial(courier.DialPeer, peerDialTimeout),
+		dispatcher.WithDial(peers.Dial, peerDialTimeout),
 		dispatcher.WithNames(r.names),
 		dispatcher.WithLogger(r.log.Named("dispatcher")),
 	)
@@ -307,7 +312,7 @@
 	peers := r.exchanger.Handler(r.peerHandler())
 	all := []front{
 		{s.Calls, forwarder.NewCallServer(r.forwarder.Egress())},
-		{s.Peers, forwarder.NewPeerServer(peers)},
+		{s.bind(), forwarder.NewPeerServer(peers)},
 	}
 	own := []door{{s.Local, r.localHandler()}, {s.Metrics, r.metricsHandler()}}
 	for _, d := range append(own, r.doors...) {
--- a/daemon/runner/settings.go
+++ b/daemon/runner/settings.go
@@ -25,6 +25,7 @@
 	Calls       netip.AddrPort          `json:"calls"`  // calls to services; optional if routes is set
 	Routes      netip.AddrPort          `json:"routes"` // calls on routes; optional if calls is set
 	Peers       netip.AddrPort          `json:"peers"`
+	Bind        netip.AddrPort          `json:"bind"`    // where to listen for peers, if they use another address; optional
 	Local       netip.AddrPort          `json:"local"`   // optional if routes is set
 	Service     string                  `json:"service"` // service of the local upstream, told to others on routed calls; optional
 	Seeds       []netip.AddrPort        `json:"seeds"`
@@ -52,6 +53,14 @@
 	return budgeter.Limits{Ratio: b.Ratio, Window: time.Duration(b.Window), Slack: b.Slack}
 }
 
+// bind returns the address to listen on for other daemons.
+func (s Settings) bind() netip.AddrPort {
+	if s.Bind.IsValid() {
+		return s.Bind
+	}
+	return s.Peers
+}
+
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
