Leave the failure domain for one that accepts, not because of a rejection alone

Cause: one rejection within a second sent every call of a daemon to other failure domains, also when those rejected too. Ruled out: demand beyond the own domain's slots; the domains swapped calls in both directions.

--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -207,16 +207,17 @@
 
 // spills reports whether a call goes to another failure domain although the own one has a member.
 func spills(here, there cost) bool {
-	if here.rejects {
-		return true
-	}
 	if there.score == 0 {
-		return false // A trial may take long to fail, so it is not worth leaving the domain for.
+		return here.rejects // A trial may take long to fail, so it is not worth leaving an accepting domain for.
+	}
+	if here.rejects != there.rejects {
+		return here.rejects
 	}
+	// If both reject, rejections tell nothing: leaving would only swap calls between domains that are full.
 	if here.utilisation < busy {
 		return here.latency > idleSpill*there.latency
 	}
-	return here.score > busySpill*there.score
+	return here.load > busySpill*there.load
 }
 
 // least returns the best member regardless of ejection and slow start, or nil if all were tried before. Members that
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -144,6 +144,7 @@
 func TestShares(t *testing.T) {
 	busy := router.Outcome{Latency: 50 * ms, Load: -1} // ten calls are in progress
 	far := router.Outcome{Latency: 12 * ms, Load: -1}
+	no := router.Outcome{Kind: router.Rejected, Load: 20}
 	pair := []wire.Member{member("a"), member("b")}
 	domains := []wire.Member{member("a"), member("far1", in("dalseo")), member("far2", in("suseong"))}
 	cases := []struct {
@@ -166,6 +167,7 @@
 		{"domain is slower", domains, answers{"a": {Latency: 12 * ms, Load: -1}}, 1000, 1000},
 		{"domain does not answer", domains, answers{"a": {Latency: time.Hour}}, 1, 5},
 		{"domain rejects", domains, answers{"a": {Kind: router.Rejected}, "far1": far, "far2": far}, 1, 7},
+		{"all domains reject", domains, answers{"a": no, "far1": no, "far2": no}, 900, 999},
 		{"domain is overloaded", domains, answers{"a": {Latency: 12 * ms, Load: 60}}, 1, 50},
 	}
 	for _, c := range cases {
--- a/daemon/router/stats.go
+++ b/daemon/router/stats.go
@@ -212,7 +212,8 @@
 // cost is what one more call at a member is expected to cost; lower is better.
 type cost struct {
 	score       float64
-	latency     float64 // with penalties, without the load
+	latency     float64 // with penalties but for rejections, without the load
+	load        float64 // latency with the load, without the penalty for rejections
 	utilisation float64 // share of the slots in use, above 1 if calls queue
 	rejects     bool    // a call was rejected lately
 }
@@ -235,15 +236,16 @@
 		rest := max(0, 1-float64(now.Sub(s.failed))/float64(ejectFirst))
 		expected *= 1 + failurePenalty*float64(min(fails, 2*ejectAfter))*rest
 	}
-	rejects := s.rejects(now)
-	if rejects {
-		expected *= rejectPenalty * float64(min(s.rejections, maxRejections))
-	}
 	if c.member.State == "suspect" {
 		expected *= suspectPenalty
 	}
 	load := float64(s.inflight) + s.others(slots, now)
-	return cost{score: (idle + (load+1)/slots) * expected, latency: expected, utilisation: load / slots, rejects: rejects}
+	loaded := (idle + (load+1)/slots) * expected
+	out := cost{score: loaded, latency: expected, load: loaded, utilisation: load / slots, rejects: s.rejects(now)}
+	if out.rejects {
+		out.score *= rejectPenalty * float64(min(s.rejections, maxRejections))
+	}
+	return out
 }
 
 // rejects reports whether the member rejected a call lately.
