Find each other sooner when all VMs start again: give up on VMs without power, join each seed in turn

Cause: a connect to a VM that is still without power hangs until the kernel repeats its first packet after a second. Ruled out: the election (leader 70 ms after the third controller started) and the reports of upstreams (within 12 ms).

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -19,6 +19,10 @@
 // SilenceLimit is how long data to another daemon may stay without an acknowledgement by its kernel.
 const SilenceLimit = time.Second
 
+// connectTimeout bounds the connect itself, which takes one round trip, even between regions. A VM without power does not
+// refuse it, and the kernel would repeat its first packet only after a second; by then the VM may be back.
+const connectTimeout = 300 * time.Millisecond
+
 // Connector opens TCP connections. Its methods may be called concurrently.
 type Connector struct {
 	dialer net.Dialer
@@ -47,7 +51,7 @@
 
 // New returns a connector.
 func New(opts ...Option) *Connector {
-	c := &Connector{}
+	c := &Connector{dialer: net.Dialer{Timeout: connectTimeout}}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/core/connector/connector_test.go
+++ b/core/connector/connector_test.go
@@ -46,3 +46,28 @@
 	}
 	return value
 }
+
+// TestDark guards against a connect that waits for a VM without power longer than such a VM takes to come back.
+func TestDark(t *testing.T) {
+	is := is.New(t)
+	// A listener whose queue is full drops the first packet of a connect, as a VM without power does.
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	is.NoErr(err)
+	defer func() { _ = syscall.Close(fd) }()
+	is.NoErr(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	is.NoErr(syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	is.NoErr(err)
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(name.(*syscall.SockaddrInet4).Port))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for range 8 {
+		conn, err := connector.New().Dial(ctx, addr)
+		if err != nil {
+			is.NoErr(ctx.Err()) // the connect gave up by itself
+			return
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	t.Fatal("the queue of the listener is never full")
+}
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -37,6 +37,21 @@
 	return r
 }
 
+// tryJoin contacts a seed from time to time until one has answered, and while no other member is known. The time between
+// two attempts doubles up to probeInterval.
+func (g *Gossiper) tryJoin(ctx context.Context, now time.Time, exchanges chan<- struct{}) {
+	if g.synced && len(g.peers(1, nil)) > 0 {
+		g.joinWait = tick
+		return
+	}
+	if g.syncing || now.Before(g.nextJoin) {
+		return
+	}
+	g.nextJoin = now.Add(g.joinWait)
+	g.joinWait = min(2*g.joinWait, probeInterval)
+	g.join(ctx, exchanges)
+}
+
 // join contacts seeds, and members forgotten after a stall, until one has answered.
 func (g *Gossiper) join(ctx context.Context, exchanges chan<- struct{}) {
 	candidates := slices.DeleteFunc(slices.Concat(g.seeds, g.rejoin), func(a netip.AddrPort) bool { return a == g.self.Addr })
@@ -46,7 +61,7 @@
 	to := candidates[g.rand.IntN(len(candidates))]
 	g.seq++
 	g.sendTo(to, wire.Gossip{Kind: kindPing, Seq: g.seq}, g.self)
-	g.startExchange(ctx, to, exchanges)
+	g.startExchange(ctx, to, joinTimeout, exchanges)
 }
 
 // partner returns the address of a random reachable member.
@@ -62,7 +77,7 @@
 // The first message holds only checksums. The answer holds the other side's entries in the buckets that differ, and a
 // second message returns what the other side lacks. Two equal tables cost about 1 KB at 1,200 members, two full tables
 // more than 150 KB each.
-func (g *Gossiper) startExchange(ctx context.Context, to netip.AddrPort, exchanges chan<- struct{}) {
+func (g *Gossiper) startExchange(ctx context.Context, to netip.AddrPort, limit time.Duration, exchanges chan<- struct{}) {
 	if g.exchange == nil || g.syncing || !to.IsValid() {
 		return
 	}
@@ -70,7 +85,7 @@
 	msg := wire.Gossip{Kind: kindSums, From: g.self.Name, Sums: sums(g.table, bucketCount(len(g.table.list)))}
 	go func() {
 		defer func() { exchanges <- struct{}{} }()
-		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		if err := g.runExchange(ctx, to, msg); err != nil {
 			g.log.Debug("exchange failed", "to", to, "error", err)
--- a/core/gossiper/failure_test.go
+++ b/core/gossiper/failure_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -96,6 +97,25 @@
 	}
 }
 
+// TestDarkSeeds guards against members that wait for the answer of a seed without power when all VMs start again and the
+// seeds come back last.
+func TestDarkSeeds(t *testing.T) {
+	const members, seeds = 60, 3
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 8, 0)
+		n.dark = true
+		defer n.stop()
+		for i := seeds; i < members; i++ {
+			n.start(i, 0)
+		}
+		time.Sleep(400 * time.Millisecond)
+		for i := range seeds {
+			n.start(i, 0)
+		}
+		n.until(3*time.Second, "all members known", func(x *node) bool { return alive(x) == members })
+	})
+}
+
 // TestFreeze guards against a frozen member that comes back and blames the others, or never returns.
 func TestFreeze(t *testing.T) {
 	for _, pause := range []time.Duration{time.Second, time.Minute, 11 * time.Minute} { // suspect, dead, dropped
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -28,8 +28,9 @@
 	suspicion       = 4 * time.Second
 	confirmAfter    = 1500 * time.Millisecond // a refutation has normally arrived by then
 	confirmInterval = 800 * time.Millisecond
-	syncInterval    = 30 * time.Second // period of exchanges and of retries of dead members
-	firstSync       = time.Second      // the interval doubles from here: when many start at once, the first exchange finds few members
+	syncInterval    = 30 * time.Second       // period of exchanges and of retries of dead members
+	joinTimeout     = 400 * time.Millisecond // for the answer of a seed, which may have no power; the next one is tried then
+	firstSync       = 300 * time.Millisecond // the interval doubles from here: when many start at once, the first exchange finds few members
 	exchangeTimeout = 5 * time.Second
 	leaveTimeout    = 5 * time.Second
 	burstInterval   = 100 * time.Millisecond // two daemons with one name refute each other without end; this limits their rate
@@ -73,6 +74,8 @@
 	nextProbe time.Time
 	nextSync  time.Time
 	syncWait  time.Duration
+	nextJoin  time.Time
+	joinWait  time.Duration
 	lastBurst time.Time
 	seq       uint64
 	probe     *probe
--- a/core/gossiper/network_test.go
+++ b/core/gossiper/network_test.go
@@ -26,6 +26,7 @@
 	keepDead, keepLeft time.Duration
 	seeds              []netip.AddrPort
 	noExchange         bool // guarded by mu
+	dark               bool // an exchange with a node that does not run has no answer, not even a refusal
 
 	mu    sync.Mutex
 	nodes map[netip.AddrPort]*node
@@ -179,6 +180,9 @@
 	case <-ctx.Done():
 	}
 	y := n.route(x, to)
+	if y == nil && n.dark {
+		<-ctx.Done() // a VM without power refuses nothing
+	}
 	if y == nil || ctx.Err() != nil || n.broken() {
 		return wire.Gossip{}, errors.New("unreachable")
 	}
--- a/core/gossiper/run.go
+++ b/core/gossiper/run.go
@@ -29,7 +29,8 @@
 	g.lastTick, g.nextProbe = now, now.Add(g.jitter(probeInterval))
 	g.syncWait = firstSync
 	g.nextSync = now.Add(g.syncWait + g.jitter(firstSync))
-	g.join(ctx, exchanges)
+	g.joinWait = tick
+	g.tryJoin(ctx, now, exchanges)
 	for {
 		select {
 		case <-ctx.Done():
@@ -73,16 +74,14 @@
 		g.nextProbe = now.Add(probeInterval)
 		g.endProbe(now)
 		g.startProbe(now)
-		if !g.synced || len(g.peers(1, nil)) == 0 {
-			g.join(ctx, exchanges)
-		}
 	}
+	g.tryJoin(ctx, now, exchanges)
 	if now.Compare(g.nextSync) >= 0 {
 		g.syncWait = min(2*g.syncWait, syncInterval)
 		// Members that started together would otherwise exchange at the same time for good.
 		g.nextSync = now.Add(g.syncWait/2 + g.jitter(g.syncWait))
 		g.retry()
-		g.startExchange(ctx, g.partner(), exchanges)
+		g.startExchange(ctx, g.partner(), exchangeTimeout, exchanges)
 	}
 	g.announceLeave()
 	g.push(pushFanout)
@@ -112,7 +111,7 @@
 		}
 	}
 	g.table.remove(func(e *entry) bool { return e != g.self })
-	g.dirty, g.synced, g.syncWait = true, false, firstSync
+	g.dirty, g.synced, g.syncWait, g.joinWait = true, false, firstSync, tick
 	// Datagrams that waited in the socket tell of members that the others have dropped since.
 	g.deafUntil = now.Add(deafTime)
 }
