--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -17,7 +17,7 @@
 const (
 	heartbeatTicks = 3   // 150 ms
 	electionTicks  = 12  // the election timeout is 1 to 2 times this: 0.6-1.2 s
-	startTicks     = 4   // the first election timeout after a start is 1 to 2 times this: 0.2-0.4 s
+	startTicks     = 2   // the first election timeout after a start is 1 to 2 times this: 0.1-0.2 s
 	rivalTicks     = 20  // 1 s until an identity is replaced by another one at its address
 	silentTicks    = 200 // 10 s until a lost identity is replaced
 	seatTicks      = 50  // 2.5 s until a waiting learner takes the seat of a silent voter
