--- a/soak/main.go
+++ b/soak/main.go
@@ -32,13 +32,11 @@
 	exitNoRun = 3
 )
 
-// firstNet is the second byte of the loopback addresses of the first run at a time.
-const firstNet = 40
-
 type settings struct {
 	runner.Settings
 	seeds    string
 	parallel int
+	net      int
 	plan     bool
 }
 
@@ -53,6 +51,7 @@
 	flags := ff.NewFlagSet("soak")
 	flags.StringVar(&s.seeds, 0, "seeds", "1", "seeds, as in 1-50,77")
 	flags.IntVar(&s.parallel, 0, "parallel", 1, "seeds to play at a time")
+	flags.IntVar(&s.net, 0, "net", 40, "second byte of the loopback addresses of the first seed at a time; the others follow")
 	flags.StringVar(&s.Programs, 0, "programs", "out/bin", "folder with the programs controller and daemon")
 	flags.StringVar(&s.Folder, 0, "folder", "out/soak", "folder for settings, data and logs")
 	flags.IntVar(&s.Controllers, 0, "controllers", 3, "controllers")
@@ -65,8 +64,8 @@
 		return exitUsage
 	}
 	seeds, err := parseSeeds(s.seeds)
-	if err != nil || s.Daemons < 3 || s.Daemons > 199 || s.Controllers < 1 || s.Controllers > 50 || s.parallel < 1 || s.parallel > 64 {
-		fmt.Fprintln(stderr, "soak: seeds, daemons (3 to 199), controllers (1 to 50) or parallel (1 to 64) cannot be used:", err)
+	if err != nil || s.Daemons < 3 || s.Daemons > 199 || s.Controllers < 1 || s.Controllers > 50 || s.parallel < 1 || s.net < 1 || s.net+s.parallel > 255 {
+		fmt.Fprintln(stderr, "soak: seeds, daemons (3 to 199), controllers (1 to 50), net or parallel cannot be used:", err)
 		return exitUsage
 	}
 	return s.all(ctx, seeds, stdout)
@@ -105,7 +104,7 @@
 	ends := make(chan end, s.parallel)
 	free := make([]byte, 0, s.parallel)
 	for i := range s.parallel {
-		free = append(free, byte(firstNet+i))
+		free = append(free, byte(s.net+i))
 	}
 	code, running := exitGood, 0
 	for len(seeds) > 0 || running > 0 {
--- a/soak/planner/planner.go
+++ b/soak/planner/planner.go
@@ -28,6 +28,7 @@
 	Leave   Kind = "leave"   // the upstream leaves and returns after For
 	Crash   Kind = "crash"   // the upstream's connections are reset and it returns as a new process
 	Slow    Kind = "slow"    // the upstream takes longer
+	Lose    Kind = "lose"    // the upstream runs calls and resets the connection instead of an answer
 	Change  Kind = "change"  // changes of the configuration in quick succession
 	Race    Kind = "race"    // two operators change the configuration at once
 )
@@ -68,7 +69,7 @@
 	weight int
 }{
 	{Kill, 4}, {Stop, 4}, {Pause, 4}, {Hangup, 1}, {Wipe, 1}, {Herd, 1}, {Cut, 3}, {OneWay, 2}, {Split, 2}, {Delay, 2},
-	{Reset, 3}, {Silence, 3}, {Leave, 4}, {Crash, 3}, {Slow, 3}, {Change, 3}, {Race, 2},
+	{Reset, 3}, {Silence, 3}, {Leave, 4}, {Crash, 3}, {Slow, 3}, {Lose, 4}, {Change, 3}, {Race, 2},
 }
 
 // Plan returns the faults of a seed, in order of their times. They overlap, but for the loss of a disk: that needs all
@@ -103,7 +104,7 @@
 		step.Name = one(source, []string{"c", "d"})
 	case Split:
 		step.Name = one(source, shape.Domains)
-	case Leave, Crash, Slow:
+	case Leave, Crash, Slow, Lose:
 		step.Name = one(source, shape.Daemons)
 	case Change, Race:
 	default:
--- a/soak/planner/planner_test.go
+++ b/soak/planner/planner_test.go
@@ -33,5 +33,5 @@
 			}
 		}
 	}
-	is.New(t).Equal(len(seen), 17)
+	is.New(t).Equal(len(seen), 18)
 }
--- a/soak/runner/faults.go
+++ b/soak/runner/faults.go
@@ -110,6 +110,10 @@
 		u := r.upstreams[upstreamOf(step.Name)]
 		u.slow.Store(true)
 		return func() { u.slow.Store(false) }
+	case planner.Lose:
+		u := r.upstreams[upstreamOf(step.Name)]
+		u.lose.Store(true)
+		return func() { u.lose.Store(false) }
 	}
 	return nothing
 }
--- a/soak/runner/upstream.go
+++ b/soak/runner/upstream.go
@@ -24,9 +24,11 @@
 	// announceEvery is the time between two announcements.
 	announceEvery = 300 * time.Millisecond
 	// runTime is the mean time of a run, and slowFactor what a slow upstream makes of it.
-	runTime    = 8 * time.Millisecond
-	slowFactor = 40
-	slots      = 12
+	runTime    = 60 * time.Millisecond
+	slowFactor = 8
+	// loseShare is the part of the answers that an upstream loses.
+	loseShare = 0.4
+	slots     = 12
 )
 
 // upstream is the upstream beside one daemon. It counts what it runs.
@@ -35,6 +37,7 @@
 	node   *node
 	name   string
 	slow   atomic.Bool
+	lose   atomic.Bool
 	mu     sync.Mutex
 	server *http.Server // nil while it is down
 	start  time.Time
@@ -80,11 +83,14 @@
 		id = request.Header.Get("Idempotency-Key")
 	}
 	u.r.judge.Run(id, u.name, time.Now())
-	wait := time.Duration((0.5 + rand.Float64()) * float64(runTime))
+	wait := time.Duration(rand.ExpFloat64() * float64(runTime))
 	if u.slow.Load() {
 		wait *= slowFactor
 	}
 	time.Sleep(wait)
+	if u.lose.Load() && rand.Float64() < loseShare {
+		panic(http.ErrAbortHandler) // resets the connection
+	}
 	size, err := strconv.Atoi(request.URL.Query().Get("size"))
 	if err != nil {
 		u.r.judge.Blame("call %s reached %s with target %s", id, u.name, request.URL)
