--- /dev/null
+++ b/bluebellctl/explain_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Logs of two VMs, as the daemons write them; the first has marks of a collector.
+const (
+	logA = `  12.1 vm-a {"@level":"info","@message":"snapshot in effect","@module":"vm-a.subscriber","@timestamp":"2026-07-10T16:44:30.1Z","version":7}
+  13.0 vm-a {"@level":"info","@message":"call failed","@module":"vm-a.dispatcher","@timestamp":"2026-07-10T16:44:33.5Z","id":"k1.c1","status":503,"outcome":"not-run","reason":"no slot","asked":["vm-b"]}
+  13.0 vm-a {"@level":"info","@message":"call failed","@module":"vm-a.dispatcher","@timestamp":"2026-07-10T16:44:33.6Z","id":"k1","status":502,"outcome":"unknown","reason":"connection reset","again":"may run only once","asked":["vm-b"]}
+not a line of a process
+`
+	logB = `{"@level":"warn","@message":"member is dead","@module":"vm-b.gossiper","@timestamp":"2026-07-10T16:44:29Z","member":"vm-c"}
+{"@level":"info","@message":"stopping","@module":"vm-b","@timestamp":"2026-07-10T16:44:10Z"}
+{"@level":"info","@message":"change","@module":"core.operator","@timestamp":"2026-07-10T16:44:20Z","id":"c9","code":"conflict","reason":"batch is at revision 6"}
+{"@level":"info","@message":"call answered","@module":"vm-b.dispatcher","@timestamp":"2026-07-10T16:44:40Z","id":"k2","status":200,"outcome":"answered","asked":["vm-c","vm-b"]}
+`
+)
+
+// TestExplain guards against lines of a call that are left out, of other calls that are mixed in, and against a wrong cause.
+func TestExplain(t *testing.T) {
+	folder := t.TempDir()
+	a, b := filepath.Join(folder, "a.log"), filepath.Join(folder, "b.log")
+	if err := os.WriteFile(a, []byte(logA), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(b, []byte(logB), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct {
+		name    string
+		args    []string
+		code    int
+		has     []string
+		without []string
+	}{
+		{"unknown outcome", []string{"k1", a, b}, exitOK,
+			[]string{"k1.c1", "snapshot in effect version=7", "member is dead", "not sent again: may run only once", "2 VMs"},
+			[]string{"stopping", "k2", "code="}},
+		{"answered", []string{"k2", b}, exitOK, []string{"the upstream of vm-b answered with status 200", "one VM"}, []string{"k1"}},
+		{"change", []string{"c9", b}, exitOK, []string{"code conflict: batch is at revision 6"}, nil},
+		{"json", []string{"--json", "k1", a}, exitOK, []string{`"verdict": "unknown whether it ran: connection reset`}, nil},
+		{"no such id", []string{"k3", a, b}, exitFailed, nil, nil},
+		{"no file", []string{"k1"}, exitUsage, nil, nil},
+		{"missing file", []string{"k1", filepath.Join(folder, "none")}, exitUsage, nil, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var out, errs bytes.Buffer
+			is.Equal(execute(context.Background(), append([]string{"explain"}, tt.args...), &out, &errs), tt.code)
+			for _, text := range tt.has {
+				is.True(strings.Contains(out.String(), text))
+			}
+			for _, text := range tt.without {
+				is.True(!strings.Contains(out.String(), text))
+			}
+		})
+	}
+}
