--- a/bluebellctl/apply.go
+++ b/bluebellctl/apply.go
@@ -11,6 +11,8 @@
 
 	"github.com/google/uuid"
 	"github.com/peterbourgon/ff/v4"
+
+	"bluebellhoist/core/waiter"
 )
 
 // backoff is the wait after a round of all controllers. It doubles with each round.
@@ -73,7 +75,7 @@
 			open = open || errors.Is(err, errUnknown)
 			last = err
 		}
-		if round == rounds-1 || !sleep(ctx, backoff<<round) {
+		if round == rounds-1 || !waiter.Slept(ctx, backoff<<round) {
 			break
 		}
 	}
@@ -111,14 +113,3 @@
 	}
 	return 0, fmt.Errorf("%w: %v: status %d: %s", errUnknown, a.from, a.status, f.Error)
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bluebellctl/wait.go
+++ b/bluebellctl/wait.go
@@ -10,6 +10,7 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"bluebellhoist/core/presenter"
+	"bluebellhoist/core/waiter"
 )
 
 // poll is the time between two looks at the daemons.
@@ -60,7 +61,7 @@
 		if ctx.Err() == nil || reason == nil {
 			reason = err
 		}
-		if !sleep(ctx, poll) {
+		if !waiter.Slept(ctx, poll) {
 			return silent, reason
 		}
 	}
--- /dev/null
+++ b/core/waiter/waiter_test.go
@@ -0,0 +1,28 @@
+package waiter_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/core/waiter"
+)
+
+// TestSleep guards against a wait that outlasts its context, and against one that goes on in a context that has ended.
+func TestSleep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		is.NoErr(waiter.Sleep(context.Background(), time.Minute))
+		is.Equal(time.Since(start), time.Minute)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		is.True(errors.Is(waiter.Sleep(ctx, time.Hour), context.DeadlineExceeded))
+		is.Equal(time.Since(start), time.Minute+time.Second)
+		is.True(!waiter.Slept(ctx, 0))
+	})
+}
--- a/daemon/runner/stop.go
+++ b/daemon/runner/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/waiter"
 )
 
 const (
@@ -60,13 +61,13 @@
 	r.pipeliner.Drain()
 	refuse := time.AfterFunc(plan.refuse, func() { r.refusing.Store(true) })
 	defer refuse.Stop()
-	wait(ctx, plan.leave)
+	waiter.Slept(ctx, plan.leave)
 	r.leave(ctx)
 	if s.Routes.IsValid() {
 		r.awaitQuiet(ctx)
 	} else {
 		// Daemons that have not heard of the leave yet get refusals as not run instead of closed connections.
-		wait(ctx, lingerTime)
+		waiter.Slept(ctx, lingerTime)
 	}
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
@@ -101,16 +102,7 @@
 		if quiet && r.calls.Load() == 0 && r.limiter.Load() == 0 {
 			return
 		}
-		wait(ctx, stopPoll)
+		waiter.Slept(ctx, stopPoll)
 	}
 	r.log.Warn("stop limit reached", "calls", r.calls.Load(), "load", r.limiter.Load())
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/waiter"
 	"bluebellhoist/core/wire"
 )
 
@@ -168,7 +169,7 @@
 }
 
 func (s *Subscriber) pause(ctx context.Context, limit time.Duration) error {
-	return sleep(ctx, time.Duration(s.random.Int64N(int64(limit))))
+	return waiter.Sleep(ctx, time.Duration(s.random.Int64N(int64(limit))))
 }
 
 // restore puts the stored snapshot in effect. Without a usable one the first session begins with a barrier.
@@ -259,14 +260,3 @@
 	s.held.Store(next)
 	s.log.Info("snapshot in effect", "batch", s.batch, "version", next.Version(), "revision", next.Batch().Revision)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/loadgen/generator/caller.go
+++ b/loadgen/generator/caller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bluebellhoist/core/echoer"
+	"bluebellhoist/core/waiter"
 )
 
 // Outcomes in the Bluebell-Outcome header.
@@ -61,7 +62,7 @@
 			result.Cause = a.lost.Error()
 		}
 		open := a.lost != nil || a.outcome == Unknown
-		if !open || !c.Service.Once || try+1 >= g.attempts || !sleep(ctx, backoff<<try) {
+		if !open || !c.Service.Once || try+1 >= g.attempts || !waiter.Slept(ctx, backoff<<try) {
 			break
 		}
 		result.Resent++
@@ -146,14 +147,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/loadgen/generator/generator.go
+++ b/loadgen/generator/generator.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"bluebellhoist/core/waiter"
 )
 
 // Bounds of the load of one run.
@@ -183,7 +185,7 @@
 		if due.Sub(start) > g.duration {
 			return p
 		}
-		if wait := time.Until(due); wait > 0 && !sleep(ctx, wait) {
+		if wait := time.Until(due); wait > 0 && !waiter.Slept(ctx, wait) {
 			return p
 		}
 		var c Call
--- a/soak/relayer/relayer.go
+++ b/soak/relayer/relayer.go
@@ -12,6 +12,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"bluebellhoist/core/waiter"
 )
 
 const (
@@ -213,9 +215,9 @@
 	for ctx.Err() == nil {
 		state := r.state(link)
 		if !state.Cut {
-			return sleep(ctx, state.Delay)
+			return waiter.Slept(ctx, state.Delay)
 		}
-		sleep(ctx, poll)
+		waiter.Slept(ctx, poll)
 	}
 	return false
 }
@@ -257,7 +259,7 @@
 // hold keeps the end of one direction of a silent connection from the other side until that ends too.
 func (r *Relayer) hold(ctx context.Context, p *pair) {
 	p.ends.Add(1)
-	for p.ends.Load() < 2 && sleep(ctx, poll) {
+	for p.ends.Load() < 2 && waiter.Slept(ctx, poll) {
 	}
 }
 
@@ -290,17 +292,3 @@
 		send()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/soak/runner/caller.go
+++ b/soak/runner/caller.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"bluebellhoist/core/echoer"
+	"bluebellhoist/core/waiter"
 	"bluebellhoist/soak/judge"
 )
 
@@ -43,7 +44,7 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	gap := float64(time.Second) / r.settings.Rate
-	for n := 1; sleep(ctx, time.Duration(source.ExpFloat64()*gap)); n++ {
+	for n := 1; waiter.Slept(ctx, time.Duration(source.ExpFloat64()*gap)); n++ {
 		o := r.order(source, n)
 		first := source.IntN(len(r.daemons))
 		calls.Add(1)
--- a/soak/runner/faults.go
+++ b/soak/runner/faults.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"bluebellhoist/core/waiter"
 	"bluebellhoist/soak/planner"
 	"bluebellhoist/soak/relayer"
 )
@@ -30,7 +31,7 @@
 	defer work.Wait()
 	began := time.Now()
 	for _, step := range steps {
-		if !sleep(ctx, step.At-time.Since(began)) {
+		if !waiter.Slept(ctx, step.At-time.Since(began)) {
 			return
 		}
 		r.log.Info("fault", "step", step.String())
@@ -54,7 +55,7 @@
 	case planner.Leave:
 		u := r.upstreams[upstreamOf(step.Name)]
 		returned := u.leave(ctx)
-		sleep(ctx, step.For)
+		waiter.Slept(ctx, step.For)
 		returned()
 		u.back()
 		return
@@ -67,7 +68,7 @@
 	}
 	defer r.judge.Fault(step.Name)()
 	undo := r.disturb(step)
-	sleep(ctx, step.For)
+	waiter.Slept(ctx, step.For)
 	undo()
 }
 
@@ -146,7 +147,7 @@
 		r.judge.Blame("planned stop of %s: %v", n.name, err)
 	}
 	ended()
-	sleep(ctx, step.For)
+	waiter.Slept(ctx, step.For)
 	r.start(n)
 }
 
--- a/soak/runner/operator.go
+++ b/soak/runner/operator.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"bluebellhoist/core/presenter"
+	"bluebellhoist/core/waiter"
 	"bluebellhoist/soak/judge"
 )
 
@@ -109,7 +110,7 @@
 				return
 			}
 		}
-		sleep(ctx, orderPause)
+		waiter.Slept(ctx, orderPause)
 	}
 	c.Open = sent
 }
@@ -119,12 +120,12 @@
 	for ctx.Err() == nil && count > 0 {
 		_, base, err := r.read(ctx)
 		if err != nil {
-			sleep(ctx, orderPause)
+			waiter.Slept(ctx, orderPause)
 			continue
 		}
 		r.change(ctx, fmt.Sprintf("%s-%d", operator, r.marks.Add(1)), base)
 		count--
-		sleep(ctx, pause)
+		waiter.Slept(ctx, pause)
 	}
 }
 
--- a/soak/runner/runner.go
+++ b/soak/runner/runner.go
@@ -17,6 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bluebellhoist/core/waiter"
 	"bluebellhoist/soak/judge"
 	"bluebellhoist/soak/planner"
 	"bluebellhoist/soak/relayer"
@@ -117,9 +118,9 @@
 	began := time.Now()
 	r.play(ctx, steps)
 	r.relayer.Heal()
-	sleep(ctx, applyLimit)
+	waiter.Slept(ctx, applyLimit)
 	calm := time.Now()
-	sleep(ctx, lastCalls)
+	waiter.Slept(ctx, lastCalls)
 	stopCalls()
 	mark, version := r.checkEnd(ctx, calm)
 	stopWatching()
@@ -167,7 +168,7 @@
 	defer cancel()
 	r.change(limit, "first", 0)
 	for !r.serving(limit) {
-		if !sleep(limit, heldEvery) {
+		if !waiter.Slept(limit, heldEvery) {
 			return fmt.Errorf("%w after %v", ErrStart, startLimit)
 		}
 	}
@@ -206,7 +207,7 @@
 
 // watch notes the version that a daemon has in effect, until ctx ends.
 func (r *Runner) watch(ctx context.Context, d *node) {
-	for sleep(ctx, heldEvery) {
+	for waiter.Slept(ctx, heldEvery) {
 		if version, ok := r.held(ctx, d); ok {
 			r.judge.Held(d.name, version)
 		}
@@ -282,17 +283,3 @@
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/soak/runner/upstream.go
+++ b/soak/runner/upstream.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"bluebellhoist/core/echoer"
+	"bluebellhoist/core/waiter"
 )
 
 const (
@@ -101,7 +102,7 @@
 
 // announce tells the daemon of the upstream until ctx ends.
 func (u *upstream) announce(ctx context.Context) {
-	for sleep(ctx, announceEvery) {
+	for waiter.Slept(ctx, announceEvery) {
 		u.mu.Lock()
 		skip, start := u.quiet || u.server == nil, u.start
 		u.mu.Unlock()
