--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -22,6 +22,9 @@
 	// spread is how many usual times before its target a call that waits must start, since many calls take longer than
 	// usual.
 	spread = 1.7
+	// lateWait is how long a call waits whose target has passed: long enough for a slot that is about to fall free, and too
+	// short to hold a caller in vain.
+	lateWait = 40 * time.Millisecond
 	// freshIdle is the longest idle time of a connection for calls that may run only once: an upstream may drop an idle
 	// connection, and a reset then leaves open whether the call ran.
 	freshIdle = 300 * time.Millisecond
@@ -177,14 +180,21 @@
 // that would be answered after its target takes the slot of one that can still be answered in time, so under load it is
 // refused while its caller can come back. Without a target it must be able to end before its deadline.
 func (o Order) Latest(usual time.Duration) time.Time {
+	if o.Class == Late {
+		return earlier(time.Now().Add(lateWait), o.Deadline)
+	}
 	if o.Target.IsZero() {
 		return o.Deadline.Add(-usual)
 	}
 	start := o.Target.Add(-time.Duration(spread * float64(usual)))
-	if start.After(o.Deadline) {
-		return o.Deadline
+	return earlier(start, o.Deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
-	return start
+	return a
 }
 
 func (d *Deliverer) check(u wire.Upstream, ok bool, o Order) string {
--- a/daemon/dispatcher/dispatcher_test.go
+++ b/daemon/dispatcher/dispatcher_test.go
@@ -237,3 +237,38 @@
 		})
 	}
 }
+
+// TestWaited guards against callers that came back and go before new ones, and against new callers that are taken for such
+// because others on the route wait a little longer.
+func TestWaited(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		patience []string // of the callers in order, in milliseconds
+		class    string   // of the last one
+		target   bool     // whether it still has one
+	}{
+		{"first", []string{"800"}, compiler.Normal, true},
+		{"a little less than others", []string{"800", "690"}, compiler.Normal, true},
+		{"came back", []string{"800", "520"}, deliverer.Late, false},
+		{"came back soon", []string{"2000", "1480"}, compiler.Normal, true},
+		{"longest patience first seen later", []string{"520", "800"}, compiler.Normal, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			routes := route(true, 1)
+			routes[0].Target, routes[0].Rank = 300*time.Millisecond, 2
+			if tt.patience[0] == "2000" {
+				routes[0].Target = 1500 * time.Millisecond
+			}
+			m := newMesh(t, routes, answered, answered)
+			for _, patience := range tt.patience {
+				r := call("/r/x")
+				r.Header.Set(courier.DefaultNames().Deadline, patience)
+				m.Handle(context.Background(), r)
+			}
+			last := m.orders[len(m.orders)-1]
+			is.Equal(last.Class, tt.class)
+			is.Equal(!last.Target.IsZero(), tt.target)
+		})
+	}
+}
