--- a/controller/replicator/election.go
+++ b/controller/replicator/election.go
@@ -7,6 +7,12 @@
 	c.deadline = c.tick + c.timeout
 }
 
+// retryElection sets when a candidate tries again. The time after which a leader without a majority steps down stays long.
+func (c *core) retryElection() {
+	c.resetElection()
+	c.deadline = c.tick + retryTicks + c.rand.Uint64N(retrySpread)
+}
+
 func (c *core) setTerm(term uint64, vote string) {
 	if c.term != term || c.vote != vote {
 		c.term, c.vote, c.hardDirty = term, vote, true
@@ -44,7 +50,7 @@
 // disturb a working leader when it comes back.
 func (c *core) startPreVote() {
 	c.role, c.lead = preCandidate, wire.Node{}
-	c.resetElection()
+	c.retryElection()
 	c.granted = map[string]bool{c.self.ID: true}
 	c.countVotes()
 	if c.role == preCandidate {
@@ -55,7 +61,7 @@
 // startVote enters a new term and asks for votes. The own vote counts once it is durable.
 func (c *core) startVote() {
 	c.role, c.lead = candidate, wire.Node{}
-	c.resetElection()
+	c.retryElection()
 	c.setTerm(c.term+1, c.self.ID)
 	c.granted = map[string]bool{}
 	c.askVotes(kindVote, c.term)
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -22,9 +22,9 @@
 	// spread is how many usual times before its target a call that waits must start, since many calls take longer than
 	// usual.
 	spread = 1.7
-	// lateWait is how long a call waits whose target has passed: long enough for a slot that is about to fall free, and too
-	// short to hold a caller in vain.
-	lateWait = 40 * time.Millisecond
+	// lateWait is the part of its time for which a call waits whose target has passed: long enough for a slot that nobody
+	// else needs, and too short to hold a caller in vain while there are none.
+	lateWait = 0.125
 	// freshIdle is the longest idle time of a connection for calls that may run only once: an upstream may drop an idle
 	// connection, and a reset then leaves open whether the call ran.
 	freshIdle = 300 * time.Millisecond
@@ -181,7 +181,8 @@
 // refused while its caller can come back. Without a target it must be able to end before its deadline.
 func (o Order) Latest(usual time.Duration) time.Time {
 	if o.Class == Late {
-		return earlier(time.Now().Add(lateWait), o.Deadline)
+		now := time.Now()
+		return now.Add(time.Duration(lateWait * float64(o.Deadline.Sub(now))))
 	}
 	if o.Target.IsZero() {
 		return o.Deadline.Add(-usual)
--- a/daemon/dispatcher/patience.go
+++ b/daemon/dispatcher/patience.go
@@ -12,9 +12,9 @@
 const (
 	// patienceWindow is the time over which the longest patience on a route is known.
 	patienceWindow = 30 * time.Second
-	// waitedLeast is the part of the longest patience that a caller must lack to count as one that has waited before. New
-	// callers differ by about half as much among themselves.
-	waitedLeast = 0.25
+	// waitedLeast is the part of the longest patience that a caller must lack to count as one that has waited before. It is
+	// less than returnPart, after which refused callers come back, and more than the spread among new ones.
+	waitedLeast = 0.9 * returnPart
 	// hopeful is the part of the target that must be left for a call to be worth a place among those that are in time.
 	hopeful = 0.6
 )
