Decide at the member whether a caller that came back can still be answered in time

Cause: the last rule took a caller with less than 60 % of the target left for late. The daemon beside the upstream knows how long calls of a kind take there, so it decides now (deliverer TestPlace).

--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -19,20 +19,11 @@
 	answerGrace = 100 * time.Millisecond
 	// minLeft is the least time that is worth sending a call for.
 	minLeft = 5 * time.Millisecond
-	// spread is how many usual times before its target a call that waits must start, since many calls take longer than
-	// usual.
-	spread = 1.7
-	// lateWait is the part of its time for which a call waits whose target has passed: long enough for a slot that nobody
-	// else needs, and too short to hold a caller in vain while there are none.
-	lateWait = 0.125
 	// freshIdle is the longest idle time of a connection for calls that may run only once: an upstream may drop an idle
 	// connection, and a reset then leaves open whether the call ran.
 	freshIdle = 300 * time.Millisecond
 )
 
-// Late is the class of calls that cannot be answered by their target any more.
-const Late = "late"
-
 // Outcome tells what is known about a call.
 type Outcome string
 
@@ -52,6 +43,7 @@
 	Target   time.Time // an answer is wanted by then; zero for none
 	Kind     string    // calls of one kind take about the same time
 	Repeat   bool      // the call may run more than once
+	Again    bool      // the caller was probably refused before and has come back
 }
 
 // Result is the end of an order.
@@ -153,7 +145,8 @@
 	}
 	waiting, cancel := context.WithDeadline(ctx, o.Deadline)
 	defer cancel()
-	free, err := d.acquire(waiting, o.Class, o.Latest(d.times.usual(o.Kind)))
+	class, latest := o.Place(time.Now(), d.times.usual(o.Kind))
+	free, err := d.acquire(waiting, class, latest)
 	if err != nil {
 		return notRun("no slot: " + err.Error())
 	}
@@ -176,28 +169,6 @@
 	return result
 }
 
-// Latest returns when a call of a kind that usually takes the given time must start at the latest if it has to wait. A call
-// that would be answered after its target takes the slot of one that can still be answered in time, so under load it is
-// refused while its caller can come back. Without a target it must be able to end before its deadline.
-func (o Order) Latest(usual time.Duration) time.Time {
-	if o.Class == Late {
-		now := time.Now()
-		return now.Add(time.Duration(lateWait * float64(o.Deadline.Sub(now))))
-	}
-	if o.Target.IsZero() {
-		return o.Deadline.Add(-usual)
-	}
-	start := o.Target.Add(-time.Duration(spread * float64(usual)))
-	return earlier(start, o.Deadline)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 func (d *Deliverer) check(u wire.Upstream, ok bool, o Order) string {
 	switch {
 	case d.draining.Load():
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -16,13 +16,13 @@
 // Headers between daemons. Each holds several fields, since every byte of a call between failure domains counts.
 const (
 	// headerOrder holds service, class, milliseconds until the deadline, milliseconds until the target (empty if there
-	// is none), kind, and whether the call may run more than once.
+	// is none), kind, whether the call may run more than once, and whether its caller has come back.
 	headerOrder = "Bluebell-Order"
 	// headerResult holds outcome, load, whether the upstream was sent the call, and reason.
 	headerResult = "Bluebell-Result"
 
 	separator    = ";"
-	orderFields  = 6
+	orderFields  = 7
 	resultFields = 4
 )
 
@@ -46,7 +46,7 @@
 		target = millis(time.Until(o.Target))
 	}
 	request.Header.Set(headerOrder, strings.Join([]string{
-		o.Service, o.Class, millis(time.Until(o.Deadline)), target, url.QueryEscape(o.Kind), strconv.FormatBool(o.Repeat),
+		o.Service, o.Class, millis(time.Until(o.Deadline)), target, url.QueryEscape(o.Kind), strconv.FormatBool(o.Repeat), strconv.FormatBool(o.Again),
 	}, separator))
 	return &request
 }
@@ -83,6 +83,9 @@
 	if o.Repeat, err = strconv.ParseBool(fields[5]); err != nil {
 		return Order{}, fmt.Errorf("%w: repeat: %v", errHeader, err)
 	}
+	if o.Again, err = strconv.ParseBool(fields[6]); err != nil {
+		return Order{}, fmt.Errorf("%w: again: %v", errHeader, err)
+	}
 	if o.Request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxBody)); err != nil {
 		return Order{}, fmt.Errorf("body: %w", err)
 	}
--- a/daemon/dispatcher/patience.go
+++ b/daemon/dispatcher/patience.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/deliverer"
 )
@@ -15,8 +14,6 @@
 	// waitedLeast is the part of the longest patience that a caller must lack to count as one that has waited before. It is
 	// less than returnPart, after which refused callers come back, and more than the spread among new ones.
 	waitedLeast = 0.9 * returnPart
-	// hopeful is the part of the target that must be left for a call to be worth a place among those that are in time.
-	hopeful = 0.6
 )
 
 // longest holds the longest patience of the callers on one route in the present window and in the one before.
@@ -55,26 +52,11 @@
 	return 0
 }
 
-// urgency sets target and class of an order. Under load a call that can still be answered in time goes before one that has
-// waited too long for that, since both need the same slot. The late one waits for a slot that nobody else needs.
+// urgency sets class and target of an order. The time that the caller has waited before counts.
 func (c *call) urgency(order *deliverer.Order) {
 	order.Class = c.class()
 	// A call whose first attempt was lost has cost a run already, so it may wait beyond its target.
-	if c.route.Target <= 0 || c.arrivals > 0 {
-		return
+	if c.route.Target > 0 && c.arrivals == 0 {
+		order.Target, order.Again = c.started.Add(c.route.Target-c.waited), c.waited > 0
 	}
-	left := c.route.Target - c.waited
-	if left >= time.Duration(hopeful*float64(c.route.Target)) {
-		order.Target = c.started.Add(left)
-		return
-	}
-	order.Class = lower(order.Class)
-}
-
-// lower returns the class of a late call. An urgent one still goes with those of the next class.
-func lower(class string) string {
-	if class == compiler.Urgent {
-		return compiler.Normal
-	}
-	return deliverer.Late
 }
