Send no call to a member just after a connect to it failed

Ruled out: calls on open connections, which the kernel gives up after 1 s. One call a second goes to such a member; a call that nobody else was asked for is still sent. TestManyFail waits for a second between its failed connects for the same reason.

--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -254,6 +254,7 @@
 	run(t, "all", members, func(f *fixture) {
 		f.shares(900, given)
 		f.Equal(f.ejected.Load(), int32(3))
+		time.Sleep(time.Second) // a call that was refused elsewhere is not sent to a member just after a failed connect
 		for i := range names {
 			name, _ := f.pick(slices.Delete(slices.Clone(names), i, i+1)...)
 			f.Equal(name, names[i])
@@ -263,6 +264,7 @@
 		for range 10 {
 			_, done := f.pick("a")
 			done(router.Outcome{Kind: router.Unreachable})
+			time.Sleep(time.Second) // the members are out of reach until then
 		}
 		time.Sleep(time.Minute)
 		f.Equal(f.shares(100, nil)["a"], 100) // no trial while the own domain accepts
@@ -274,6 +276,41 @@
 	})
 }
 
+// TestDark guards against calls that wait for connects to members which are cut off, although one call was refused just
+// before for the same reason, and against a healed cut that goes unnoticed.
+func TestDark(t *testing.T) {
+	members := []wire.Member{member("a"), member("far1", in("dalseo")), member("far2", in("suseong"))}
+	run(t, "domain is cut off", members, func(f *fixture) {
+		full := router.Outcome{Kind: router.Rejected, Load: 20}
+		connects := 0
+		for range 300 { // calls in 3 s, each refused by the own domain at once
+			asked := []string{}
+			for {
+				m, done, err := f.router.Pick("seller", asked)
+				if err != nil {
+					break
+				}
+				asked = append(asked, m.Name)
+				if m.Name == "a" {
+					done(full)
+					continue
+				}
+				connects++
+				time.AfterFunc(300*ms, func() { done(router.Outcome{Kind: router.Unreachable, Latency: 300 * ms}) })
+				break
+			}
+			time.Sleep(10 * ms)
+		}
+		t.Logf("%d calls waited for a connect", connects)
+		f.True(connects <= 2*(30+3)) // until the first connects have failed, then one for each member and second
+		time.Sleep(2 * time.Second)
+		name, done := f.pick("a") // the cut has healed
+		done(router.Outcome{Latency: 4 * ms})
+		again, _ := f.pick("a")
+		f.Equal(again, name)
+	})
+}
+
 // TestSlowStart guards against a cold member that gets a full share at once, also if its clock is ahead.
 func TestSlowStart(t *testing.T) {
 	for _, skew := range []time.Duration{0, time.Hour} {
--- a/daemon/router/stats.go
+++ b/daemon/router/stats.go
@@ -65,6 +65,10 @@
 	// minShare is the least probability with which a slow member takes part in the selection.
 	minShare = 0.1
 
+	// darkTime is the time after a failed connect in which no other call goes to the member. A connect to a member that is
+	// cut off takes as long as many callers wait.
+	darkTime = time.Second
+
 	suspectPenalty = 2
 	// rejectPenalty is the score factor for each consecutive rejection, up to maxRejections. Rejections are quick, so
 	// a member whose upstream is gone would otherwise look fast.
@@ -114,6 +118,7 @@
 	seen  time.Time    // when this router first saw it
 	until atomic.Int64 // end of the ejection, after seen
 	fails atomic.Int32 // consecutive failures
+	dark  atomic.Int64 // end of the time without calls after a failed connect, after seen; 0 if the last one did not fail
 
 	mu         sync.Mutex
 	inflight   int
@@ -146,6 +151,7 @@
 	}
 	s.inflight--
 	s.starts -= start.Sub(s.seen).Microseconds()
+	s.lighten(o.Kind, now)
 	switch o.Kind {
 	case OK:
 		s.fails.Store(0)
@@ -258,6 +264,28 @@
 	return s.failing() && s.inflight == 0 && !now.Before(s.retry)
 }
 
+// lighten notes whether a connect failed. Calls without an answer tell nothing about that.
+func (s *stats) lighten(kind Kind, now time.Time) {
+	switch kind {
+	case Unreachable:
+		s.dark.Store(int64(now.Add(darkTime).Sub(s.seen)))
+	case OK, Rejected:
+		s.dark.Store(0)
+	}
+}
+
+// reachable reports whether a call may be sent to the member as far as connects tell.
+func (s *stats) reachable(now time.Time) bool {
+	return int64(now.Sub(s.seen)) >= s.dark.Load()
+}
+
+// probe lets the call that is about to be sent be the only one until it has ended, if the last connect failed.
+func (s *stats) probe(now time.Time) {
+	if s.dark.Load() != 0 {
+		s.dark.Store(int64(now.Add(darkTime).Sub(s.seen)))
+	}
+}
+
 // failing reports whether the member failed too often and no call has succeeded since.
 func (s *stats) failing() bool {
 	return s.fails.Load() >= ejectAfter
