--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -39,6 +39,7 @@
 	seen     time.Time
 	since    int64
 	heard    report // last numbered report of the upstream
+	left     number // of the last leave
 	leaves   int    // leaves that wait for calls in progress
 	stopping bool
 }
@@ -111,10 +112,28 @@
 	a.withdraw()
 }
 
+// number orders the announcements and leaves of an upstream, over starts of its process too.
+type number struct {
+	start int64
+	seq   uint64 // 0 if not numbered
+}
+
+// after reports whether a message was sent after another one, as far as they are numbered.
+func (n number) after(other number) bool {
+	if n.seq == 0 || other.seq == 0 {
+		return true
+	}
+	return n.start > other.start || n.start == other.start && n.seq > other.seq
+}
+
 // announce takes a valid announcement.
-func (a *Announcer) announce(u wire.Upstream, now time.Time) error {
+func (a *Announcer) announce(u wire.Upstream, seq uint64, now time.Time) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	// A daemon that was paused may get an announcement after the leave that followed it.
+	if !(number{u.Start, seq}).after(a.left) {
+		return ErrStale
+	}
 	return a.accept(u, now)
 }
 
@@ -158,9 +177,10 @@
 }
 
 // leave withdraws the upstream and waits for the calls in progress.
-func (a *Announcer) leave(ctx context.Context) error {
+func (a *Announcer) leave(ctx context.Context, n number) error {
 	a.mu.Lock()
 	a.leaves++
+	a.left = n
 	a.withdraw()
 	a.mu.Unlock()
 	err := a.drained(ctx)
--- a/daemon/announcer/announcer_test.go
+++ b/daemon/announcer/announcer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -233,3 +234,37 @@
 	status, _ := f.do(context.Background(), http.MethodPut, string(data))
 	is.Equal(status, http.StatusNoContent)
 }
+
+// TestCrossing guards against an announcement that was sent before a leave and arrives after it, as a paused daemon gets
+// them: it must not attract calls to an upstream that has left.
+func TestCrossing(t *testing.T) {
+	const format = `{"service": "payout", "address": "127.0.0.1:9000", "slots": 2, "conns": 4, "start": %d, "seq": %d}`
+	for _, tt := range []struct {
+		name       string
+		start, seq int
+		code       int
+	}{
+		{"sent before", 1000, 6, http.StatusConflict},
+		{"earlier process", 999, 50, http.StatusConflict},
+		{"returns", 1000, 8, http.StatusNoContent},
+		{"new process", 1001, 1, http.StatusNoContent},
+		{"not numbered", 1000, 0, http.StatusNoContent},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			close(f.calls)
+			is.Equal(f.put(fmt.Sprintf(format, 1000, 5)), http.StatusNoContent)
+			w := httptest.NewRecorder()
+			f.ServeHTTP(w, httptest.NewRequest(http.MethodDelete, "/v1/upstream?start=1000&seq=7", nil))
+			is.Equal(w.Code, http.StatusNoContent)
+			is.Equal(f.put(fmt.Sprintf(format, tt.start, tt.seq)), tt.code)
+			is.Equal(f.entry().Ready, tt.code == http.StatusNoContent)
+		})
+	}
+	t.Run("not a number", func(t *testing.T) {
+		w := httptest.NewRecorder()
+		newFixture().ServeHTTP(w, httptest.NewRequest(http.MethodDelete, "/v1/upstream?seq=x", nil))
+		is.New(t).Equal(w.Code, http.StatusBadRequest)
+	})
+}
--- a/soak/runner/upstream.go
+++ b/soak/runner/upstream.go
@@ -43,6 +43,7 @@
 	server *http.Server // nil while it is down
 	start  time.Time
 	quiet  bool // it does not announce itself
+	seq    int  // of the last announcement or leave
 }
 
 // up starts the upstream as a new process would: with a new start time.
@@ -104,20 +105,21 @@
 func (u *upstream) announce(ctx context.Context) {
 	for waiter.Slept(ctx, announceEvery) {
 		u.mu.Lock()
-		skip, start := u.quiet || u.server == nil, u.start
+		u.seq++
+		skip, start, seq := u.quiet || u.server == nil, u.start, u.seq
 		u.mu.Unlock()
 		if skip {
 			continue
 		}
 		body, err := json.Marshal(map[string]any{
 			"service": u.node.service, "address": u.node.behind(portUpstream).String(), "slots": slots, "conns": 4 * slots,
-			"start": start.UnixMilli(), "id": fmt.Sprint(u.name, "-", start.UnixMilli()),
+			"start": start.UnixMilli(), "seq": seq, "id": fmt.Sprint(u.name, "-", start.UnixMilli()),
 		})
 		if err != nil {
 			u.r.judge.Blame("announcement: %v", err)
 			return
 		}
-		_ = u.send(ctx, http.MethodPut, body, time.Second) // the daemon may be down; the next one follows soon
+		_ = u.send(ctx, http.MethodPut, "", body, time.Second) // the daemon may be down; the next one follows soon
 	}
 }
 
@@ -125,8 +127,10 @@
 func (u *upstream) leave(ctx context.Context) (returned func()) {
 	u.mu.Lock()
 	u.quiet = true
+	u.seq++
+	query := fmt.Sprintf("?start=%d&seq=%d", u.start.UnixMilli(), u.seq)
 	u.mu.Unlock()
-	if err := u.send(ctx, http.MethodDelete, nil, 5*time.Second); err != nil {
+	if err := u.send(ctx, http.MethodDelete, query, nil, 5*time.Second); err != nil {
 		return func() {}
 	}
 	return u.r.judge.Left(u.name, time.Now())
@@ -139,10 +143,10 @@
 	u.quiet = false
 }
 
-func (u *upstream) send(ctx context.Context, method string, body []byte, limit time.Duration) error {
+func (u *upstream) send(ctx context.Context, method, query string, body []byte, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	url := "http://" + u.node.at(portLocal).String() + "/v1/upstream"
+	url := "http://" + u.node.at(portLocal).String() + "/v1/upstream" + query
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return err
--- a/standin/announcer/announcer.go
+++ b/standin/announcer/announcer.go
@@ -34,6 +34,13 @@
 	leave    time.Duration
 	log      hclog.Logger
 	client   *http.Client
+	seq      uint64 // of the last announcement or leave
+}
+
+// announcement is the upstream with the number that orders its messages.
+type announcement struct {
+	wire.Upstream
+	Seq uint64 `json:"seq"`
 }
 
 // Option changes a setting of New.
@@ -89,25 +96,27 @@
 }
 
 func (a *Announcer) announce(ctx context.Context) error {
-	body, err := json.Marshal(a.upstream)
+	a.seq++
+	body, err := json.Marshal(announcement{a.upstream, a.seq})
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrDaemon, err)
 	}
 	// An announcement is not cut short by the end of ctx: the daemon could then handle it after the leave request.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), every)
 	defer cancel()
-	return a.send(ctx, http.MethodPut, body)
+	return a.send(ctx, http.MethodPut, "", body)
 }
 
 func (a *Announcer) end() error {
 	ctx, cancel := context.WithTimeout(context.Background(), a.leave)
 	defer cancel()
 	a.log.Info("leaving")
-	return a.send(ctx, http.MethodDelete, nil)
+	a.seq++
+	return a.send(ctx, http.MethodDelete, fmt.Sprintf("?start=%d&seq=%d", a.upstream.Start, a.seq), nil)
 }
 
-func (a *Announcer) send(ctx context.Context, method string, body []byte) error {
-	url := "http://" + a.daemon.String() + "/v1/upstream"
+func (a *Announcer) send(ctx context.Context, method, query string, body []byte) error {
+	url := "http://" + a.daemon.String() + "/v1/upstream" + query
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrDaemon, err)
