--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -15,11 +15,11 @@
 
 // Durations in ticks.
 const (
-	heartbeatTicks = 3   // 150 ms
-	electionTicks  = 12  // the election timeout is 1 to 2 times this: 0.6-1.2 s
-	startTicks     = 2   // the first election timeout after a start is 0.1-0.4 s
-	startSpread    = 6   // apart enough that two controllers which start together seldom split the votes
-	retryTicks     = 4   // a candidate without enough votes tries again after 0.2-0.6 s: others have no leader either
+	heartbeatTicks = 3  // 150 ms
+	electionTicks  = 12 // the election timeout is 1 to 2 times this: 0.6-1.2 s
+	startTicks     = 2  // the first election timeout after a start is 0.1-0.4 s
+	startSpread    = 6  // apart enough that two controllers which start together seldom split the votes
+	retryTicks     = 4  // a candidate without enough votes tries again after 0.2-0.6 s: others have no leader either
 	retrySpread    = 8
 	rivalTicks     = 20  // 1 s until an identity is replaced by another one at its address
 	silentTicks    = 200 // 10 s until a lost identity is replaced
