--- a/core/connector/connector_test.go
+++ b/core/connector/connector_test.go
@@ -47,8 +47,8 @@
 	return value
 }
 
-// TestDark guards against a connect that waits for a VM without power longer than such a VM takes to come back.
-func TestDark(t *testing.T) {
+// TestConnectTimeout guards against a connect that waits for a VM without power longer than such a VM takes to come back.
+func TestConnectTimeout(t *testing.T) {
 	is := is.New(t)
 	// A listener whose queue is full drops the first packet of a connect, as a VM without power does.
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
--- a/core/gossiper/failure_test.go
+++ b/core/gossiper/failure_test.go
@@ -97,13 +97,13 @@
 	}
 }
 
-// TestDarkSeeds guards against members that wait for the answer of a seed without power when all VMs start again and the
+// TestSilentSeeds guards against members that wait for the answer of a seed without power when all VMs start again and the
 // seeds come back last.
-func TestDarkSeeds(t *testing.T) {
+func TestSilentSeeds(t *testing.T) {
 	const members, seeds = 60, 3
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 8, 0)
-		n.dark = true
+		n.silent = true
 		defer n.stop()
 		for i := seeds; i < members; i++ {
 			n.start(i, 0)
--- a/core/gossiper/network_test.go
+++ b/core/gossiper/network_test.go
@@ -26,7 +26,7 @@
 	keepDead, keepLeft time.Duration
 	seeds              []netip.AddrPort
 	noExchange         bool // guarded by mu
-	dark               bool // an exchange with a node that does not run has no answer, not even a refusal
+	silent             bool // an exchange with a node that does not run has no answer, not even a refusal
 
 	mu    sync.Mutex
 	nodes map[netip.AddrPort]*node
@@ -180,7 +180,7 @@
 	case <-ctx.Done():
 	}
 	y := n.route(x, to)
-	if y == nil && n.dark {
+	if y == nil && n.silent {
 		<-ctx.Done() // a VM without power refuses nothing
 	}
 	if y == nil || ctx.Err() != nil || n.broken() {
--- a/daemon/dispatcher/patience.go
+++ b/daemon/dispatcher/patience.go
@@ -45,8 +45,8 @@
 	if !ok {
 		v, _ = d.patiences.LoadOrStore(route.Name, &longest{})
 	}
-	usual := v.(*longest).note(patience, now)
-	if waited := usual - patience; waited >= time.Duration(waitedLeast*float64(usual)) {
+	most := v.(*longest).note(patience, now)
+	if waited := most - patience; waited >= time.Duration(waitedLeast*float64(most)) {
 		return waited
 	}
 	return 0
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -82,7 +82,7 @@
 	if chosen == nil {
 		return wire.Member{}, nil, fmt.Errorf("%w: service %q: all %d ready members were tried or are out of reach", ErrNoMember, name, len(g.all))
 	}
-	chosen.stats.probe(now)
+	chosen.stats.claimTrial(now)
 	chosen.stats.begin(now)
 	c := &call{router: r, service: s, chosen: chosen, start: now}
 	return chosen.member, c.end, nil
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -276,9 +276,9 @@
 	})
 }
 
-// TestDark guards against calls that wait for connects to members which are cut off, although one call was refused just
+// TestUnreachable guards against calls that wait for connects to members which are cut off, although one call was refused just
 // before for the same reason, and against a healed cut that goes unnoticed.
-func TestDark(t *testing.T) {
+func TestUnreachable(t *testing.T) {
 	members := []wire.Member{member("a"), member("far1", in("dalseo")), member("far2", in("suseong"))}
 	run(t, "domain is cut off", members, func(f *fixture) {
 		full := router.Outcome{Kind: router.Rejected, Load: 20}
--- a/daemon/router/stats.go
+++ b/daemon/router/stats.go
@@ -65,9 +65,9 @@
 	// minShare is the least probability with which a slow member takes part in the selection.
 	minShare = 0.1
 
-	// darkTime is the time after a failed connect in which no other call goes to the member. A connect to a member that is
+	// unreachableTime is the time after a failed connect in which no other call goes to the member. A connect to a member that is
 	// cut off takes as long as many callers wait.
-	darkTime = time.Second
+	unreachableTime = time.Second
 
 	suspectPenalty = 2
 	// rejectPenalty is the score factor for each consecutive rejection, up to maxRejections. Rejections are quick, so
@@ -115,10 +115,10 @@
 
 // stats are the observations about one member process.
 type stats struct {
-	seen  time.Time    // when this router first saw it
-	until atomic.Int64 // end of the ejection, after seen
-	fails atomic.Int32 // consecutive failures
-	dark  atomic.Int64 // end of the time without calls after a failed connect, after seen; 0 if the last one did not fail
+	seen        time.Time    // when this router first saw it
+	until       atomic.Int64 // end of the ejection, after seen
+	fails       atomic.Int32 // consecutive failures
+	unreachable atomic.Int64 // end of the time without calls after a failed connect, after seen; 0 if the last one did not fail
 
 	mu         sync.Mutex
 	inflight   int
@@ -151,7 +151,7 @@
 	}
 	s.inflight--
 	s.starts -= start.Sub(s.seen).Microseconds()
-	s.lighten(o.Kind, now)
+	s.noteConnect(o.Kind, now)
 	switch o.Kind {
 	case OK:
 		s.fails.Store(0)
@@ -264,25 +264,26 @@
 	return s.failing() && s.inflight == 0 && !now.Before(s.retry)
 }
 
-// lighten notes whether a connect failed. Calls without an answer tell nothing about that.
-func (s *stats) lighten(kind Kind, now time.Time) {
+// noteConnect notes whether a connect failed. Calls without an answer tell nothing about that.
+func (s *stats) noteConnect(kind Kind, now time.Time) {
 	switch kind {
 	case Unreachable:
-		s.dark.Store(int64(now.Add(darkTime).Sub(s.seen)))
+		s.unreachable.Store(int64(now.Add(unreachableTime).Sub(s.seen)))
 	case OK, Rejected:
-		s.dark.Store(0)
+		s.unreachable.Store(0)
 	}
 }
 
 // reachable reports whether a call may be sent to the member as far as connects tell.
 func (s *stats) reachable(now time.Time) bool {
-	return int64(now.Sub(s.seen)) >= s.dark.Load()
+	return int64(now.Sub(s.seen)) >= s.unreachable.Load()
 }
 
-// probe lets the call that is about to be sent be the only one until it has ended, if the last connect failed.
-func (s *stats) probe(now time.Time) {
-	if s.dark.Load() != 0 {
-		s.dark.Store(int64(now.Add(darkTime).Sub(s.seen)))
+// claimTrial keeps other calls from the member for unreachableTime if the last connect failed: the call that is about to be
+// sent tells whether it can be reached again.
+func (s *stats) claimTrial(now time.Time) {
+	if s.unreachable.Load() != 0 {
+		s.unreachable.Store(int64(now.Add(unreachableTime).Sub(s.seen)))
 	}
 }
 
