Judge the patience of new callers by most of them, not by the longest

Cause: found while reading: a single caller that sends a deadline of an hour would have made all others on its route count as callers that had come back, and so as late. Nine in ten of the last 64 callers decide now (TestWaited: beside some that wait for an hour).

--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -47,7 +47,7 @@
 	born      time.Time
 	held      atomic.Int64  // calls that wait for the configuration or a member after the start
 	shares    sync.Map      // of *share by name of the route
-	patiences sync.Map      // of *longest by name of the route
+	patiences sync.Map      // of *patience by name of the route
 	good      atomic.Uint64 // calls that went well at the first attempt
 }
 
@@ -190,7 +190,7 @@
 		started: now, service: d.share(route).next(), version: snapshot.Version(),
 	}
 	c.deadline, c.patience = d.deadline(request.Header, route, now)
-	c.waited = d.waited(route, c.patience, now)
+	c.waited = d.waited(route, c.patience)
 	d.prepare(request.Header)
 	return c, nil
 }
--- a/daemon/dispatcher/patience.go
+++ b/daemon/dispatcher/patience.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -9,44 +10,47 @@
 )
 
 const (
-	// patienceWindow is the time over which the longest patience on a route is known.
-	patienceWindow = 30 * time.Second
-	// waitedLeast is the part of the longest patience that a caller must lack to count as one that has waited before. It is
-	// less than returnPart, after which refused callers come back, and more than the spread among new ones.
+	// recentCallers is the number of callers on a route by whom the patience of a new one is judged.
+	recentCallers = 64
+	// judgeEvery is the number of calls after which it is judged again.
+	judgeEvery = 16
+	// newShare is the part of these callers that wait no longer. A few that wait much longer than others so change nothing.
+	newShare = 0.9
+	// waitedLeast is the part of that patience that a caller must lack to count as one that has waited before. It is less
+	// than returnPart, after which refused callers come back, and more than the spread among new ones.
 	waitedLeast = 0.9 * returnPart
 )
 
-// longest holds the longest patience of the callers on one route in the present window and in the one before.
-type longest struct {
-	mu            sync.Mutex
-	began         time.Time
-	present, past time.Duration
+// patience follows how long new callers on one route wait.
+type patience struct {
+	mu     sync.Mutex
+	recent [recentCallers]time.Duration
+	count  int
+	usual  time.Duration
 }
 
-// note takes the patience of one caller and returns the longest one.
-func (l *longest) note(patience time.Duration, now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if age := now.Sub(l.began); age >= patienceWindow {
-		l.past = l.present
-		if age >= 2*patienceWindow {
-			l.past = 0
-		}
-		l.began, l.present = now, 0
+// note takes how long one caller waits and returns how long new ones do.
+func (p *patience) note(wait time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recent[p.count%recentCallers] = wait
+	p.count++
+	if p.count <= judgeEvery || p.count%judgeEvery == 0 {
+		sorted := slices.Sorted(slices.Values(p.recent[:min(p.count, recentCallers)]))
+		p.usual = sorted[int(newShare*float64(len(sorted)-1))]
 	}
-	l.present = max(l.present, patience)
-	return max(l.present, l.past)
+	return p.usual
 }
 
 // waited returns how long a caller has probably waited before this attempt: callers tell how long they will still wait, and
-// one that was refused and comes back has less time than others on the same route.
-func (d *Dispatcher) waited(route *wire.Route, patience time.Duration, now time.Time) time.Duration {
+// one that was refused and comes back has less time than new ones on the same route.
+func (d *Dispatcher) waited(route *wire.Route, left time.Duration) time.Duration {
 	v, ok := d.patiences.Load(route.Name)
 	if !ok {
-		v, _ = d.patiences.LoadOrStore(route.Name, &longest{})
+		v, _ = d.patiences.LoadOrStore(route.Name, &patience{})
 	}
-	most := v.(*longest).note(patience, now)
-	if waited := most - patience; waited >= time.Duration(waitedLeast*float64(most)) {
+	usual := v.(*patience).note(left)
+	if waited := usual - left; waited >= time.Duration(waitedLeast*float64(usual)) {
 		return waited
 	}
 	return 0
