--- a/soak/main.go
+++ b/soak/main.go
@@ -87,6 +87,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if to < from {
+			return nil, fmt.Errorf("range %q ends before it begins", part)
+		}
 		for seed := from; seed <= to; seed++ {
 			all = append(all, seed)
 		}
--- /dev/null
+++ b/soak/main_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestParseSeeds guards against seeds that are left out, and against a list that is read in part.
+func TestParseSeeds(t *testing.T) {
+	for _, tt := range []struct {
+		text string
+		want []uint64
+	}{
+		{"7", []uint64{7}},
+		{"1-3,53", []uint64{1, 2, 3, 53}},
+		{"3-1", nil},
+		{"", nil},
+		{"1,x", nil},
+		{"1-", nil},
+	} {
+		t.Run(tt.text, func(t *testing.T) {
+			got, err := parseSeeds(tt.text)
+			is := is.New(t)
+			is.Equal(err != nil, tt.want == nil)
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// TestUsage guards against a run with settings that cannot be played, and against a plan that differs between calls.
+func TestUsage(t *testing.T) {
+	play := func(args ...string) (int, string) {
+		var out, errs bytes.Buffer
+		code := execute(context.Background(), append(args, "--folder", t.TempDir()), &out, &errs)
+		return code, out.String()
+	}
+	for _, args := range [][]string{{"--seeds", "x"}, {"--daemons", "2"}, {"--controllers", "0"}, {"--net", "250", "--parallel", "9"}, {"--none"}} {
+		t.Run(strings.Join(args, " "), func(t *testing.T) {
+			code, _ := play(args...)
+			is.New(t).Equal(code, exitUsage)
+		})
+	}
+	t.Run("plan", func(t *testing.T) {
+		is := is.New(t)
+		code, first := play("--plan", "--seeds", "53")
+		is.Equal(code, exitGood)
+		is.True(strings.Contains(first, "pause d5"))
+		_, second := play("--plan", "--seeds", "53")
+		is.Equal(first, second)
+	})
+}
