--- a/soak/runner/runner.go
+++ b/soak/runner/runner.go
@@ -264,16 +264,17 @@
 			r.judge.Blame("planned stop of %s: %v", n.name, err)
 		}
 	}
-	for _, u := range r.upstreams {
-		u.down()
-	}
 }
 
+// killAll ends what still runs, also after a start that failed.
 func (r *Runner) killAll() {
 	for _, n := range r.nodes() {
 		n.Signal(syscall.SIGCONT)
 		n.Kill()
 	}
+	for _, u := range r.upstreams {
+		u.down()
+	}
 	r.client.CloseIdleConnections()
 }
 
