--- a/daemon/dispatcher/overload_test.go
+++ b/daemon/dispatcher/overload_test.go
@@ -38,7 +38,7 @@
 
 // overload sends calls whose callers come back once, as told, and returns what they got.
 func overload(t *testing.T) *tally {
-	random := rand.New(rand.NewPCG(5, 6))
+	arrivals, runs := rand.New(rand.NewPCG(5, 6)), rand.New(rand.NewPCG(7, 8))
 	slots := limiter.New(limiter.WithSlots(loadSlots))
 	routes := route(true, 2)
 	routes[0].Target, routes[0].Rank = loadTarget, 2
@@ -47,7 +47,7 @@
 	runTime := func() time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
-		return time.Duration((0.5 + random.Float64()) * float64(loadRun))
+		return time.Duration((0.5 + runs.Float64()) * float64(loadRun))
 	}
 	d := dispatcher.New(
 		dispatcher.WithSnapshot(func() *compiler.Snapshot { return snapshot }),
@@ -71,7 +71,7 @@
 	got := &tally{}
 	var callers sync.WaitGroup
 	for range loadCalls {
-		time.Sleep(time.Duration(random.ExpFloat64() / loadRate * float64(time.Second)))
+		time.Sleep(time.Duration(arrivals.ExpFloat64() / loadRate * float64(time.Second)))
 		callers.Go(func() { got.call(d) })
 	}
 	callers.Wait()
