Let gossip know failure domains

Cause: membership was flat. Each change was pushed by every member about 13 times to members of any failure domain, and exchanges and acknowledgements carried the same entries again.

Change: a member tells three members of each other failure domain about itself and about suspicions that it raised. Pushes stay within the failure domain. Many differences are evened out by exchanges that follow each other soon instead of pushes. A newcomer is introduced to one member of each failure domain. Dead members are tried again every 5 s instead of 30 s, and a member of another failure domain that returns is asked for its table at once.

All tests of failures now run in one failure domain and in four. TestStart fails on the code before.

--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -12,6 +12,13 @@
 // answerTimeout bounds Answer while Run is not running.
 const answerTimeout = 2 * time.Second
 
+// foreignExchanges is the number of exchanges of which one may be with any failure domain.
+const foreignExchanges = 4
+
+// unsettledChanges is the number of changes in an exchange from which the next one follows soon. While a whole failure
+// domain starts, exchanges tell its members of each other in a tenth of the bytes of pushes.
+const unsettledChanges = 8
+
 // Answer takes a message of an exchange that another daemon started and returns the reply.
 func (g *Gossiper) Answer(msg wire.Gossip) wire.Gossip {
 	reply := make(chan wire.Gossip, 1)
@@ -34,6 +41,7 @@
 		return r
 	}
 	g.accuse(g.merge(msg, time.Now()).accused)
+	g.countExchange(msg.From)
 	return r
 }
 
@@ -60,12 +68,24 @@
 	}
 	to := candidates[g.rand.IntN(len(candidates))]
 	g.seq++
-	g.sendTo(to, wire.Gossip{Kind: kindPing, Seq: g.seq}, g.self)
+	g.sendTo(target{addr: to}, wire.Gossip{Kind: kindPing, Seq: g.seq}, g.self)
 	g.startExchange(ctx, to, joinTimeout, exchanges)
 }
 
-// partner returns the address of a random reachable member.
+// countExchange notes that the partner of an exchange has been told all queued entries.
+func (g *Gossiper) countExchange(partner string) {
+	if g.knownNear(partner) {
+		g.queue.told(len(g.table.list))
+	}
+}
+
+// partner returns the address of a random reachable member, mostly of the own failure domain.
 func (g *Gossiper) partner() netip.AddrPort {
+	if g.unsettled || g.rand.IntN(foreignExchanges) > 0 {
+		for _, e := range g.peers(1, g.near) {
+			return e.Addr
+		}
+	}
 	for _, e := range g.peers(1, nil) {
 		return e.Addr
 	}
@@ -101,7 +121,10 @@
 	lacking := make(chan []wire.Member, 1)
 	g.do(func() {
 		lacking <- lacked(g.table, msg.Sums, answer)
-		g.accuse(g.merge(answer, time.Now()).accused)
+		in := g.merge(answer, time.Now())
+		g.accuse(in.accused)
+		g.countExchange(answer.From)
+		g.unsettled = in.changed >= unsettledChanges || in.changed > 0 && len(g.peers(1, g.near)) == 0
 		g.synced, g.rejoin = true, nil
 	})
 	back := wire.Gossip{Kind: kindSync, From: msg.From}
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -28,22 +28,25 @@
 	suspicion       = 4 * time.Second
 	confirmAfter    = 1500 * time.Millisecond // a refutation has normally arrived by then
 	confirmInterval = 800 * time.Millisecond
-	syncInterval    = 30 * time.Second       // period of exchanges and of retries of dead members
+	syncInterval    = 30 * time.Second       // period of exchanges
+	retryInterval   = 5 * time.Second        // period of pings to dead members
 	joinTimeout     = 400 * time.Millisecond // for the answer of a seed, which may have no power; the next one is tried then
 	firstSync       = 300 * time.Millisecond // the interval doubles from here: when many start at once, the first exchange finds few members
 	exchangeTimeout = 5 * time.Second
 	leaveTimeout    = 5 * time.Second
 	burstInterval   = 100 * time.Millisecond // two daemons with one name refute each other without end; this limits their rate
 
-	relays       = 3
-	pushFanout   = 3
-	deafTime     = time.Second // covers the datagrams that wait in a socket
-	burstFanout  = 6
-	leaveFanout  = 8
-	leaveQuorum  = 4
-	inboxLength  = 512
-	confirmLimit = 4  // suspects pinged in one tick; bounds the traffic when a failure domain is lost
-	accusedLimit = 64 // members told about their accusation in one exchange
+	relays     = 3
+	pushFanout = 3
+	// crowdedFanout is that of pushes while exchanges spread most entries.
+	crowdedFanout = 1
+	deafTime      = time.Second // covers the datagrams that wait in a socket
+	burstFanout   = 6
+	leaveFanout   = 8
+	leaveQuorum   = 4
+	inboxLength   = 512
+	confirmLimit  = 4  // suspects pinged in one tick; bounds the traffic when a failure domain is lost
+	accusedLimit  = 64 // members told about their accusation in one exchange
 )
 
 // Gossiper keeps the membership. Run owns its control state; the exported methods may be called from any goroutine.
@@ -68,12 +71,14 @@
 	self      *entry
 	table     *table
 	queue     *queue
+	outbound  outbound
 	dirty     bool
 	published time.Time
 	lastTick  time.Time
 	nextProbe time.Time
 	nextSync  time.Time
 	syncWait  time.Duration
+	nextRetry time.Time
 	nextJoin  time.Time
 	joinWait  time.Duration
 	lastBurst time.Time
@@ -84,8 +89,10 @@
 	relayed   map[uint64]relay
 	syncing   bool
 	synced    bool
+	unsettled bool             // the last exchange has changed many entries
 	deafUntil time.Time        // datagrams are dropped until then
 	rejoin    []netip.AddrPort // addresses of members forgotten after a long stall
+	returned  netip.AddrPort   // member of another failure domain that was dead here and has been heard from
 	leaving   *leave
 }
 
@@ -121,6 +128,7 @@
 	}
 	g.self.State = wire.Alive
 	g.table.put(g.self)
+	g.outbound.add(g.self.Name)
 	g.publish()
 	return g
 }
--- a/core/gossiper/leave.go
+++ b/core/gossiper/leave.go
@@ -39,7 +39,7 @@
 		m.Inc++
 		g.store(g.self, m, time.Now())
 		g.publish()
-		g.queue.add(m.Name)
+		g.spreadSelf()
 	}
 	g.probe = nil
 	if g.leaving != nil {
@@ -67,7 +67,7 @@
 	for _, e := range g.peers(leaveFanout, func(e *entry) bool { return !l.confirmed[e.Name] }) {
 		g.seq++
 		l.seqs[g.seq] = true
-		g.sendTo(e.Addr, wire.Gossip{Kind: kindPing, Seq: g.seq}, g.self)
+		g.sendTo(e.target(), wire.Gossip{Kind: kindPing, Seq: g.seq}, g.self)
 	}
 }
 
--- a/core/gossiper/load_test.go
+++ b/core/gossiper/load_test.go
@@ -16,11 +16,17 @@
 const (
 	budget     = 8 << 10 // bytes per second and daemon
 	udpHeaders = 28      // IP and UDP
+	// exchangeHeaders are those of TCP and HTTP in one request and its answer.
+	exchangeHeaders = 700
 )
 
 // TestBudget guards against gossip that exceeds the bytes allowed to a daemon while upstreams come and go.
 func TestBudget(t *testing.T) {
-	newNetwork(t, 9, 0).run(200, func(n *network, nodes []*node) {
+	eachLayout(t, testBudget)
+}
+
+func testBudget(t *testing.T, domains int) {
+	newNetwork(t, 9, 0, domains).run(200, func(n *network, nodes []*node) {
 		time.Sleep(time.Minute)
 		idle := n.measure(time.Minute, func(int) {})
 		busy := n.measure(time.Minute, func(second int) {
@@ -77,7 +83,7 @@
 
 func runMesh(b *testing.B, count int) {
 	const span = 10 * time.Second
-	n := newNetwork(nil, 10, 0)
+	n := newNetwork(nil, 10, 0, 1)
 	defer n.stop()
 	before := heap()
 	var nodes []*node
--- a/core/gossiper/merge.go
+++ b/core/gossiper/merge.go
@@ -11,15 +11,21 @@
 // rank orders the states of one incarnation: the higher one wins.
 var rank = map[string]int{wire.Alive: 0, wire.Suspect: 1, wire.Dead: 2, wire.Left: 3}
 
-// verdicts are the known entries that the sender of a message has wrong.
-type verdicts struct {
-	stale   []*entry // the sender's own entry is older than the known one
-	accused []*entry // members alive here and dead at the sender
+// intake is the merging of one message.
+type intake struct {
+	now      time.Time
+	from     string   // name of the sender
+	quiet    bool     // what the message tells is not pushed on
+	changed  int      // entries that were unknown or older
+	newcomer bool     // the sender has started or was taken for dead, and may know few members
+	stale    []*entry // known entries of which the sender of the message has an older one
+	accused  []*entry // members alive here and dead at the sender
 }
 
-// merge takes the entries of a message.
-func (g *Gossiper) merge(msg wire.Gossip, now time.Time) verdicts {
-	var v verdicts
+// merge takes the entries of a message. Those of an exchange within the failure domain are not pushed on, since its other
+// members exchange too.
+func (g *Gossiper) merge(msg wire.Gossip, now time.Time) intake {
+	in := intake{now: now, from: msg.From, quiet: msg.Kind == kindSync && g.knownNear(msg.From)}
 	for _, m := range msg.Members {
 		if !valid(m) {
 			continue
@@ -28,60 +34,76 @@
 		e, ok := g.table.byName[m.Name]
 		switch {
 		case !ok:
-			g.insert(m, now)
+			g.insert(m, &in)
+			in.newcomer = in.newcomer || m.Name == msg.From
 		case e == g.self:
 			g.refute(m, now)
 		case m.Inc > e.Inc:
-			g.advance(e, m, now, &v)
+			g.advance(e, m, &in)
 		case m.Inc == e.Inc && rank[m.State] > rank[e.State]:
-			g.escalate(e, m, now, &v)
+			g.escalate(e, m, &in)
 		case m.Name == msg.From && (m.Inc < e.Inc || m.State != e.State):
-			v.stale = append(v.stale, e)
+			in.newcomer = true
+			in.stale = append(in.stale, e)
 		case m.Inc < e.Inc && e.State == wire.Alive && m.State != wire.Alive && !g.queue.has(e.Name):
 			g.queue.add(e.Name) // a refutation has not reached the sender
+			if !g.knownNear(msg.From) {
+				in.stale = append(in.stale, e) // the queue does not reach it
+			}
 		}
 	}
-	return v
+	return in
 }
 
 // insert adds an unknown member. Dead and left ones were dropped here earlier and must not return.
-func (g *Gossiper) insert(m wire.Member, now time.Time) {
+func (g *Gossiper) insert(m wire.Member, in *intake) {
 	if m.State == wire.Dead || m.State == wire.Left {
 		return
 	}
 	g.log.Info("new member", "member", m.Name, "addr", m.Addr, "state", m.State)
-	g.table.put(&entry{Member: m, at: now})
+	g.table.put(&entry{Member: m, at: in.now})
 	g.dirty = true
-	g.queue.add(m.Name)
+	g.spread(m.Name, in)
+}
+
+// spread queues an entry that a message has changed.
+func (g *Gossiper) spread(name string, in *intake) {
+	in.changed++
+	if !in.quiet {
+		g.queue.add(name)
+	}
 }
 
 // advance takes an entry with a higher incarnation.
-func (g *Gossiper) advance(e *entry, m wire.Member, now time.Time, v *verdicts) {
+func (g *Gossiper) advance(e *entry, m wire.Member, in *intake) {
 	if m.State == wire.Dead && e.State != wire.Dead {
 		// Another member's verdict on a member that is not suspected here may come from the other side of a partition.
 		m.State = e.State
-		v.accused = append(v.accused, e)
+		in.accused = append(in.accused, e)
+	}
+	if e.State == wire.Dead && m.State == wire.Alive && m.Name == in.from && !g.near(e) {
+		g.returned = m.Addr
 	}
 	if m.State != e.State {
 		g.log.Info("member changed state", "member", m.Name, "from", e.State, "to", m.State)
 	}
-	g.store(e, m, now)
+	g.store(e, m, in.now)
 	if m.State != wire.Dead {
-		g.queue.add(m.Name)
+		g.spread(m.Name, in)
 	}
 }
 
 // escalate takes an entry of the same incarnation with a worse state.
-func (g *Gossiper) escalate(e *entry, m wire.Member, now time.Time, v *verdicts) {
+func (g *Gossiper) escalate(e *entry, m wire.Member, in *intake) {
 	switch m.State {
 	case wire.Suspect:
-		g.suspect(e, now)
+		g.suspect(e, in.now)
 	case wire.Left:
-		g.store(e, m, now)
+		g.store(e, m, in.now)
 		g.queue.add(m.Name)
 	case wire.Dead:
 		if e.State == wire.Alive {
-			v.accused = append(v.accused, e)
+			in.accused = append(in.accused, e)
 		}
 	}
 }
@@ -103,7 +125,7 @@
 	own := g.self.Member
 	if m.Inc < own.Inc {
 		if m.State != wire.Alive && !g.queue.has(own.Name) {
-			g.queue.add(own.Name)
+			g.spreadSelf()
 		}
 		return
 	}
@@ -113,7 +135,7 @@
 	own.Inc = m.Inc + 1
 	g.log.Info("refuted entry", "state", m.State, "inc", own.Inc)
 	g.store(g.self, own, now)
-	g.queue.add(own.Name)
+	g.spreadSelf()
 	g.burst(burstFanout)
 }
 
@@ -124,7 +146,7 @@
 		told := *e
 		told.State = wire.Suspect
 		told.size = size(told.Member)
-		g.sendTo(e.Addr, wire.Gossip{Kind: kindPush}, &told)
+		g.sendTo(e.target(), wire.Gossip{Kind: kindPush}, &told)
 		if !slices.Contains(g.accused, e.Name) {
 			g.accused = append(g.accused, e.Name)
 		}
--- a/core/gossiper/network_test.go
+++ b/core/gossiper/network_test.go
@@ -25,6 +25,7 @@
 
 	keepDead, keepLeft time.Duration
 	seeds              []netip.AddrPort
+	domains            int  // failure domains, over which the nodes are spread in turn
 	noExchange         bool // guarded by mu
 	silent             bool // an exchange with a node that does not run has no answer, not even a refusal
 
@@ -44,10 +45,18 @@
 	waiting       atomic.Int32
 	datagrams     atomic.Int64
 	bytes, synced atomic.Int64 // sent bytes in datagrams and in exchanges
+	crossed       atomic.Int64 // those of both that went to another failure domain, with headers of datagrams
 }
 
-func newNetwork(t *testing.T, seed uint64, loss float64) *network {
-	return &network{t: t, seed: seed, loss: loss, keepDead: 24 * time.Hour, keepLeft: time.Hour,
+// eachLayout runs f with all nodes in one failure domain and spread over several.
+func eachLayout(t *testing.T, f func(t *testing.T, domains int)) {
+	for _, domains := range []int{1, 4} {
+		t.Run(fmt.Sprint(domains, " domains"), func(t *testing.T) { f(t, domains) })
+	}
+}
+
+func newNetwork(t *testing.T, seed uint64, loss float64, domains int) *network {
+	return &network{t: t, seed: seed, loss: loss, domains: domains, keepDead: 24 * time.Hour, keepLeft: time.Hour,
 		seeds: []netip.AddrPort{address(0), address(1), address(2)},
 		nodes: map[netip.AddrPort]*node{}, cut: func(_, _ *node) bool { return false }}
 }
@@ -62,7 +71,7 @@
 	close(x.frozen)
 	r := rand.New(rand.NewPCG(n.seed, uint64(i)))
 	x.Gossiper = gossiper.New(
-		gossiper.WithSelf(wire.Member{Name: x.name, Domain: "suseong", Addr: x.addr, Service: "payout", Slots: 20, Ready: true, Inc: inc}),
+		gossiper.WithSelf(wire.Member{Name: x.name, Domain: n.domain(i), Addr: x.addr, Service: "payout", Slots: 20, Ready: true, Inc: inc}),
 		gossiper.WithSeeds(n.seeds),
 		gossiper.WithRetention(n.keepDead, n.keepLeft),
 		gossiper.WithRandom(rand.New(rand.NewPCG(n.seed, uint64(i)+1<<32))),
@@ -79,6 +88,10 @@
 	return x
 }
 
+func (n *network) domain(i int) string {
+	return fmt.Sprint("domain-", i%n.domains)
+}
+
 func (n *network) kill(x *node) {
 	n.mu.Lock()
 	delete(n.nodes, x.addr)
@@ -129,6 +142,7 @@
 	<-n.thawed(x)
 	x.datagrams.Add(1)
 	x.bytes.Add(int64(len(data)))
+	n.count(x, to, len(data)+udpHeaders)
 	if len(data) > gossiper.MaxDatagram {
 		n.t.Errorf("datagram of %d bytes", len(data))
 	}
@@ -189,9 +203,30 @@
 	answer := y.Answer(msg)
 	x.synced.Add(encodedSize(msg))
 	y.synced.Add(encodedSize(answer))
+	n.count(x, to, packedSize(msg)+packedSize(answer)+exchangeHeaders)
 	return answer, nil
 }
 
+// count notes bytes that go from x to an address if that is in another failure domain.
+func (n *network) count(x *node, to netip.AddrPort, bytes int) {
+	i := to.Addr().As4()
+	if n.domain(int(i[1])<<16|int(i[2])<<8|int(i[3])) != n.domain(x.index) {
+		x.crossed.Add(int64(bytes))
+	}
+}
+
+func packedSize(msg wire.Gossip) int {
+	data, err := encoder.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	packed, err := encoder.Pack(data)
+	if err != nil {
+		panic(err)
+	}
+	return len(packed)
+}
+
 func encodedSize(msg wire.Gossip) int64 {
 	data, err := encoder.Marshal(msg)
 	if err != nil {
--- a/core/gossiper/probe.go
+++ b/core/gossiper/probe.go
@@ -28,7 +28,7 @@
 
 // relay is a ping sent on behalf of another member.
 type relay struct {
-	to   netip.AddrPort
+	to   target
 	seq  uint64
 	sent time.Time
 }
@@ -36,18 +36,22 @@
 // receive handles one datagram.
 func (g *Gossiper) receive(d datagram) {
 	now := time.Now()
-	v := g.merge(d.msg, now)
-	defer g.accuse(v.accused)
+	in := g.merge(d.msg, now)
+	defer g.accuse(in.accused)
 	switch d.msg.Kind {
 	case kindPing:
-		g.sendTo(d.from, wire.Gossip{Kind: kindAck, Seq: d.msg.Seq}, append(v.stale, g.self)...)
+		first := append(in.stale, g.self)
+		if in.newcomer {
+			first = append(first, g.introductions()...)
+		}
+		g.sendTo(g.sender(d), wire.Gossip{Kind: kindAck, Seq: d.msg.Seq}, first...)
 	case kindRelay:
 		g.relay(d, now)
 	case kindAck:
 		g.ack(d)
 	}
-	if len(v.stale) > 0 && d.msg.Kind != kindPing {
-		g.sendTo(d.from, wire.Gossip{Kind: kindPush}, v.stale...)
+	if len(in.stale) > 0 && d.msg.Kind != kindPing {
+		g.sendTo(g.sender(d), wire.Gossip{Kind: kindPush}, in.stale...)
 	}
 }
 
@@ -71,8 +75,8 @@
 		return
 	}
 	g.seq++
-	g.relayed[g.seq] = relay{d.from, d.msg.Seq, now}
-	g.sendTo(d.msg.Target, wire.Gossip{Kind: kindPing, Seq: g.seq}, g.self)
+	g.relayed[g.seq] = relay{g.sender(d), d.msg.Seq, now}
+	g.sendTo(target{addr: d.msg.Target}, wire.Gossip{Kind: kindPing, Seq: g.seq}, g.self)
 }
 
 // startProbe pings the next member of the round.
@@ -97,7 +101,7 @@
 	if e.State != wire.Alive {
 		first = append(first, e)
 	}
-	g.sendTo(e.Addr, wire.Gossip{Kind: kindPing, Seq: g.seq}, first...)
+	g.sendTo(e.target(), wire.Gossip{Kind: kindPing, Seq: g.seq}, first...)
 }
 
 // checkProbe repeats an unanswered ping and asks other members to ping as well.
@@ -110,9 +114,9 @@
 	if !ok {
 		return
 	}
-	g.sendTo(e.Addr, wire.Gossip{Kind: kindPing, Seq: g.probe.seq}, g.self, e)
+	g.sendTo(e.target(), wire.Gossip{Kind: kindPing, Seq: g.probe.seq}, g.self, e)
 	for _, r := range g.peers(relays, func(o *entry) bool { return o != e }) {
-		g.sendTo(r.Addr, wire.Gossip{Kind: kindRelay, Seq: g.probe.seq, Target: e.Addr}, g.self)
+		g.sendTo(r.target(), wire.Gossip{Kind: kindRelay, Seq: g.probe.seq, Target: e.Addr}, g.self)
 	}
 }
 
@@ -128,6 +132,7 @@
 		return
 	}
 	g.suspect(e, now)
+	g.outbound.add(e.Name)
 	g.ping(e)
 }
 
@@ -194,6 +199,6 @@
 	seeds := slices.DeleteFunc(slices.Clone(g.seeds), func(a netip.AddrPort) bool { return known[a] })
 	if len(seeds) > 0 {
 		g.seq++
-		g.sendTo(seeds[g.rand.IntN(len(seeds))], wire.Gossip{Kind: kindPing, Seq: g.seq}, g.self)
+		g.sendTo(target{addr: seeds[g.rand.IntN(len(seeds))]}, wire.Gossip{Kind: kindPing, Seq: g.seq}, g.self)
 	}
 }
--- a/core/gossiper/queue.go
+++ b/core/gossiper/queue.go
@@ -38,23 +38,41 @@
 	q.items = slices.DeleteFunc(q.items, func(it item) bool { return it.name == name })
 }
 
+func (q *queue) clear() {
+	q.items = nil
+}
+
 func (q *queue) has(name string) bool {
 	return slices.ContainsFunc(q.items, func(it item) bool { return it.name == name })
 }
 
-// take returns first and the entries sent least often that fit into room bytes, and counts them as sent.
-func (q *queue) take(t *table, room int, limit int, first ...*entry) []wire.Member {
-	if len(q.items) > crowded {
-		limit = min(limit, crowdedLimit)
+// limit returns how often each entry is sent to spread among n members.
+func (q *queue) limit(n int) int {
+	if q.crowded() {
+		return min(sendLimit(n), crowdedLimit)
 	}
-	slices.SortStableFunc(q.items, func(a, b item) int { return cmp.Compare(a.sent, b.sent) })
-	var taken []wire.Member
-	for _, e := range first {
-		if e.size <= room {
-			room -= e.size
-			taken = append(taken, e.Member)
-		}
+	return sendLimit(n)
+}
+
+// crowded reports whether exchanges spread the entries better than pushes.
+func (q *queue) crowded() bool {
+	return len(q.items) > crowded
+}
+
+// told counts all entries as sent once more.
+func (q *queue) told(n int) {
+	limit := q.limit(n)
+	q.items = slices.DeleteFunc(q.items, func(it item) bool { return it.sent+1 >= limit })
+	for i := range q.items {
+		q.items[i].sent++
 	}
+}
+
+// take returns first and the entries sent least often that fit into room bytes, and counts them as sent.
+func (q *queue) take(t *table, room int, first ...*entry) []wire.Member {
+	limit := q.limit(len(t.list))
+	slices.SortStableFunc(q.items, func(a, b item) int { return cmp.Compare(a.sent, b.sent) })
+	taken := fit(&room, first)
 	kept := q.items[:0]
 	for _, it := range q.items {
 		e, ok := t.byName[it.name]
@@ -77,6 +95,18 @@
 	return taken
 }
 
+// fit returns the entries that fit into room bytes, which it takes from room.
+func fit(room *int, entries []*entry) []wire.Member {
+	var taken []wire.Member
+	for _, e := range entries {
+		if e.size <= *room {
+			*room -= e.size
+			taken = append(taken, e.Member)
+		}
+	}
+	return taken
+}
+
 // sendLimit returns how often each of n members sends an update. In an epidemic n*e^(-s) members miss an update of
 // which s copies per member arrive; here that is 0.01 members at a loss of 20 %.
 func sendLimit(n int) int {
--- a/core/gossiper/run.go
+++ b/core/gossiper/run.go
@@ -26,7 +26,7 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	now := time.Now()
-	g.lastTick, g.nextProbe = now, now.Add(g.jitter(probeInterval))
+	g.lastTick, g.nextProbe, g.nextRetry = now, now.Add(g.jitter(probeInterval)), now.Add(g.jitter(retryInterval))
 	g.syncWait = firstSync
 	g.nextSync = now.Add(g.syncWait + g.jitter(firstSync))
 	g.joinWait = tick
@@ -76,15 +76,35 @@
 		g.startProbe(now)
 	}
 	g.tryJoin(ctx, now, exchanges)
+	if g.unsettled || g.queue.crowded() {
+		g.syncSoon(now)
+	}
 	if now.Compare(g.nextSync) >= 0 {
 		g.syncWait = min(2*g.syncWait, syncInterval)
 		// Members that started together would otherwise exchange at the same time for good.
 		g.nextSync = now.Add(g.syncWait/2 + g.jitter(g.syncWait))
-		g.retry()
 		g.startExchange(ctx, g.partner(), exchangeTimeout, exchanges)
 	}
+	if now.Compare(g.nextRetry) >= 0 {
+		g.nextRetry = now.Add(retryInterval/2 + g.jitter(retryInterval))
+		g.retry()
+	}
+	if g.returned.IsValid() && !g.syncing {
+		// The failure domains have been cut off from each other. One exchange tells either of all members of the other.
+		g.startExchange(ctx, g.returned, exchangeTimeout, exchanges)
+		g.returned = netip.AddrPort{}
+	}
 	g.announceLeave()
-	g.push(pushFanout)
+	g.push()
+	g.tellOthers()
+}
+
+// syncSoon brings the next exchange forward.
+func (g *Gossiper) syncSoon(now time.Time) {
+	if soon := now.Add(g.jitter(firstSync)); soon.Before(g.nextSync) {
+		g.nextSync, g.syncWait = soon, firstSync
+	}
+	g.unsettled = false
 }
 
 // resume keeps a process that was frozen from blaming the others for its own silence.
@@ -157,10 +177,16 @@
 	m.Inc++
 	g.store(g.self, m, time.Now())
 	g.publish()
-	g.queue.add(m.Name)
+	g.spreadSelf()
 	g.burst(burstFanout)
 }
 
+// spreadSelf starts spreading the own entry anew.
+func (g *Gossiper) spreadSelf() {
+	g.queue.add(g.self.Name)
+	g.outbound.add(g.self.Name)
+}
+
 // store replaces an entry.
 func (g *Gossiper) store(e *entry, m wire.Member, now time.Time) {
 	e.set(m, now)
@@ -181,38 +207,54 @@
 		return
 	}
 	g.lastBurst = now
-	for _, e := range g.peers(fanout, nil) {
-		g.sendTo(e.Addr, wire.Gossip{Kind: kindPush}, g.self)
+	for _, e := range g.peers(fanout, g.near) {
+		g.sendTo(e.target(), wire.Gossip{Kind: kindPush}, g.self)
 	}
+	g.tellOthers()
 }
 
-// push sends queued updates to random members.
-func (g *Gossiper) push(fanout int) {
+// push sends queued updates to random members of the own failure domain.
+func (g *Gossiper) push() {
 	if len(g.queue.items) == 0 {
 		return
 	}
-	for _, e := range g.peers(fanout, nil) {
-		g.sendTo(e.Addr, wire.Gossip{Kind: kindPush})
+	fanout := pushFanout
+	if g.queue.crowded() {
+		fanout = crowdedFanout
+	}
+	near := g.peers(fanout, g.near)
+	if len(near) == 0 {
+		g.queue.clear() // members that come later exchange tables
+	}
+	for _, e := range near {
+		g.sendTo(e.target(), wire.Gossip{Kind: kindPush})
 	}
 }
 
 // sendTo sends a message with the given entries and as many queued updates as fit.
-func (g *Gossiper) sendTo(to netip.AddrPort, msg wire.Gossip, first ...*entry) {
+//
+// The queue is for members of the own failure domain. A change in another one crosses the border a few times, and is
+// spread by the queues on this side.
+func (g *Gossiper) sendTo(to target, msg wire.Gossip, first ...*entry) {
 	if msg.From == "" {
 		msg.From = g.self.Name
 	}
 	room := MaxDatagram - sumSize - arrayHeader - size(msg)
-	msg.Members = g.queue.take(g.table, room, sendLimit(len(g.table.list)), first...)
+	if to.domain == g.self.Domain {
+		msg.Members = g.queue.take(g.table, room, first...)
+	} else {
+		msg.Members = g.outbound.take(g.table, room, to.domain, first...)
+	}
 	if msg.Kind == kindPush && len(msg.Members) == 0 {
 		return
 	}
 	data, err := encode(msg)
 	if err != nil {
-		g.log.Error("cannot encode datagram", "to", to, "error", err)
+		g.log.Error("cannot encode datagram", "to", to.addr, "error", err)
 		return
 	}
-	if err := g.send(to, data); err != nil {
-		g.log.Debug("cannot send datagram", "to", to, "error", err)
+	if err := g.send(to.addr, data); err != nil {
+		g.log.Debug("cannot send datagram", "to", to.addr, "error", err)
 	}
 }
 
