Keep sessions within the failure domain

Cause: on the platform daemons know three controllers at the start, without their failure domains, and stayed with the one that answered first. Three controllers of ten served all daemons after a common restart.

Change: a controller refers a daemon of another failure domain to a controller there, which the membership of the log names before gossip knows anybody.

--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -34,6 +35,7 @@
 	barrier func(context.Context) error
 	view    func() *registrar.View
 	fresh   func() bool
+	nearer  func(domain string) (netip.AddrPort, bool)
 	log     hclog.Logger
 	frames  frames
 
@@ -66,6 +68,12 @@
 	return func(d *Distributor) { d.fresh = fresh }
 }
 
+// WithNearer sets the function that names another controller, in the failure domain of a daemon, if there is one and this
+// node is in another one.
+func WithNearer(nearer func(domain string) (netip.AddrPort, bool)) Option {
+	return func(d *Distributor) { d.nearer = nearer }
+}
+
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) Option {
 	return func(d *Distributor) { d.log = log }
@@ -74,6 +82,7 @@
 // New returns a distributor. WithPropose, WithBarrier, WithView and WithFresh are required.
 func New(opts ...Option) *Distributor {
 	d := &Distributor{
+		nearer:   func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		log:      hclog.NewNullLogger(),
 		sessions: map[*session]struct{}{},
 		ended:    make(chan struct{}),
--- a/controller/distributor/distributor_test.go
+++ b/controller/distributor/distributor_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,6 +22,9 @@
 	"bluebellhoist/core/wire"
 )
 
+// nearby is a controller in the failure domain dalseong.
+var nearby = netip.MustParseAddrPort("127.0.0.1:9")
+
 var errNoMajority = errors.New("no majority")
 
 // fixture is a distributor in front of a state machine without a log.
@@ -53,6 +58,7 @@
 		}),
 		distributor.WithView(f.registrar.View),
 		distributor.WithFresh(func() bool { return true }),
+		distributor.WithNearer(func(domain string) (netip.AddrPort, bool) { return nearby, domain == "dalseong" }),
 	)
 	f.server = httptest.NewServer(f.dist)
 	t.Cleanup(f.server.Close)
@@ -234,3 +240,23 @@
 	d.next()
 	is.New(t).Equal(f.dist.Daemons(), []presenter.Daemon{{Name: "d1", Domain: "buk", Batch: "counter", Held: 1}})
 }
+
+// TestRefer guards against snapshots that cross between failure domains although the daemon has a controller of its own, and
+// against daemons that are sent away again from the only controller that answers.
+func TestRefer(t *testing.T) {
+	f := newFixture(t)
+	f.change(t, "1", "a")
+	for _, c := range []struct {
+		domain string
+		stay   bool
+		refers bool
+	}{{"dalseong", false, true}, {"dalseong", true, false}, {"jung", false, false}} {
+		t.Run(fmt.Sprint(c.domain, " ", c.stay), func(t *testing.T) {
+			is := is.New(t)
+			frame := f.connect(t, wire.Hello{Name: "d1", Domain: c.domain, Stay: c.stay, Barrier: true}).next()
+			is.Equal(frame.Refer != nil, c.refers)
+			is.Equal(frame.Full == nil, c.refers)
+			is.True(!c.refers || *frame.Refer == wire.Refer{Addr: nearby, Domain: "dalseong"})
+		})
+	}
+}
--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -122,6 +122,9 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	if to, ok := s.d.nearer(hello.Domain); ok && !hello.Stay {
+		return s.conn.Send(ctx, wire.Frame{Refer: &wire.Refer{Addr: to, Domain: hello.Domain}})
+	}
 	beats := time.NewTicker(framer.BeatInterval)
 	defer beats.Stop()
 	sent, err := s.start(ctx, hello)
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -169,6 +169,7 @@
 		distributor.WithBarrier(c.replicator.Barrier),
 		distributor.WithView(c.registrar.View),
 		distributor.WithFresh(c.fresh),
+		distributor.WithNearer(c.nearer),
 		distributor.WithLogger(log.Named("distributor")),
 	)
 	c.administrator = administrator.New(
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -265,6 +265,9 @@
 	// A large frame, encoded and compressed.
 	Packed []byte `json:"packed"`
 
+	// Refer corresponds to the JSON schema field "refer".
+	Refer *Refer `json:"refer,omitempty,omitzero"`
+
 	// Release corresponds to the JSON schema field "release".
 	Release *Claim `json:"release,omitempty,omitzero"`
 
@@ -352,6 +355,9 @@
 	// Name of the daemon.
 	Name string `json:"name"`
 
+	// True if the daemon is not to be referred to another controller.
+	Stay bool `json:"stay"`
+
 	// Checksum of the snapshot in force.
 	Sum uint64 `json:"sum"`
 }
@@ -504,6 +510,15 @@
 	Vote string `json:"vote"`
 }
 
+// Refer names a controller in the failure domain of the daemon.
+type Refer struct {
+	// Address of the controller.
+	Addr netip.AddrPort `json:"addr"`
+
+	// Failure domain of the controller.
+	Domain string `json:"domain"`
+}
+
 // Result is what applying a command returned.
 type Result struct {
 	// Error code: empty, conflict, invalid or missing.
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -33,6 +33,8 @@
 // session is one connection to a controller.
 type session struct {
 	s        *Subscriber
+	to       Controller
+	stay     bool // the controller may not refer the daemon to another one
 	conn     *framer.Framer
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -48,7 +50,7 @@
 }
 
 // connect runs one session and reports whether the controller answered.
-func (s *Subscriber) connect(ctx context.Context, to Controller) (bool, error) {
+func (s *Subscriber) connect(ctx context.Context, to Controller, stay bool) (bool, error) {
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
 	defer cancelDial()
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -62,7 +64,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &session{s: s, ctx: ctx, cancel: cancel, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
+	c := &session{s: s, to: to, stay: stay, ctx: ctx, cancel: cancel, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
 	c.conn = framer.New(conn, framer.WithLimit(encoder.MaxMessage), framer.WithCounters(c.sent, c.got))
 	s.log.Info("connected", "controller", to.Addr)
 	established, err := c.run()
@@ -106,7 +108,7 @@
 
 // hello returns the message that asks for everything newer than the held snapshot.
 func (c *session) hello(full bool) wire.Frame {
-	hello := &wire.Hello{Name: c.s.name, Domain: c.s.domain, Batch: c.s.batch, Full: full}
+	hello := &wire.Hello{Name: c.s.name, Domain: c.s.domain, Batch: c.s.batch, Full: full, Stay: c.stay}
 	if held := c.s.Held(); held != nil {
 		hello.Held, hello.Sum = held.Version(), held.Sum()
 	} else {
@@ -158,6 +160,8 @@
 	switch {
 	case frame.Bye:
 		return errStopping
+	case frame.Refer != nil:
+		return refer(*frame.Refer)
 	case frame.Full != nil, frame.Delta != nil:
 		return c.take(ctx, frame)
 	case frame.Beat != nil:
@@ -185,13 +189,16 @@
 	return c.enqueue(ctx, wire.Frame{Ack: &wire.Ack{Version: held.Version(), Sum: held.Sum()}})
 }
 
-// beat leaves a controller that has lacked a majority for StaleLimit.
+// beat leaves a controller that has lacked a majority for StaleLimit, or that is farther away than another one.
 func (c *session) beat(ctx context.Context, beat wire.Beat) error {
 	if held := c.s.Held(); held != nil && beat.Version > held.Version() {
 		return c.enqueue(ctx, c.hello(true))
 	}
 	if beat.Fresh {
 		c.stale = time.Time{}
+		if c.idle() && c.s.nearer(c.to, time.Now()) {
+			return errNearer
+		}
 		return nil
 	}
 	if c.stale.IsZero() {
@@ -203,6 +210,13 @@
 	return nil
 }
 
+// idle reports whether no request waits for an answer.
+func (c *session) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) == 0
+}
+
 func (c *session) enqueue(ctx context.Context, frame wire.Frame) error {
 	select {
 	case c.outgoing <- frame:
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -61,6 +60,7 @@
 	store       store
 	random      *rand.Rand
 	log         hclog.Logger
+	failed      map[netip.AddrPort]time.Time // ends of sessions with controllers of the own failure domain; belongs to Run
 	dial        func(context.Context, netip.AddrPort) (net.Conn, error)
 
 	held    atomic.Pointer[compiler.Snapshot]
@@ -116,6 +116,7 @@
 		source: func() []Controller { return nil },
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:    hclog.NewNullLogger(),
+		failed: map[netip.AddrPort]time.Time{},
 		dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", addr.String())
 		},
@@ -151,16 +152,24 @@
 	}
 }
 
-// round tries each controller once and reports whether any answered.
+// round tries each controller once and reports whether any answered. It ends early when there is a reason to begin anew
+// with those of the own failure domain.
 func (s *Subscriber) round(ctx context.Context) (bool, error) {
 	answered := false
+	tried := false // one of the own failure domain
 	for _, c := range s.order() {
-		established, err := s.connect(ctx, c)
-		if ctx.Err() != nil {
+		established, err := s.visit(ctx, c, tried)
+		answered = answered || established
+		var referred *referral
+		if errors.As(err, &referred) {
+			tried = true
+			established, err = s.follow(ctx, c, referred.to)
+			answered = answered || established
+		}
+		if ctx.Err() != nil || errors.Is(err, errNearer) {
 			return answered, ctx.Err()
 		}
-		s.log.Info("session ended", "controller", c.Addr, "error", err)
-		answered = answered || established
+		tried = tried || s.near(c)
 		if err := s.pause(ctx, roundPause); err != nil {
 			return answered, err
 		}
@@ -168,6 +177,25 @@
 	return answered, nil
 }
 
+// follow runs a session with the controller that another one has named, or else with that one.
+func (s *Subscriber) follow(ctx context.Context, from, to Controller) (bool, error) {
+	established, err := s.visit(ctx, to, true)
+	if established || ctx.Err() != nil {
+		return established, err
+	}
+	return s.visit(ctx, from, true)
+}
+
+// visit runs one session and tells how it ended.
+func (s *Subscriber) visit(ctx context.Context, c Controller, stay bool) (bool, error) {
+	established, err := s.connect(ctx, c, stay)
+	s.noteEnd(c, time.Now())
+	if ctx.Err() == nil {
+		s.log.Info("session ended", "controller", c.Addr, "error", err)
+	}
+	return established, err
+}
+
 func (s *Subscriber) pause(ctx context.Context, limit time.Duration) error {
 	return waiter.Sleep(ctx, time.Duration(s.random.Int64N(int64(limit))))
 }
@@ -186,34 +214,6 @@
 	}
 }
 
-// order returns the controllers in random order, those of the own failure domain first and then those of the region.
-func (s *Subscriber) order() []Controller {
-	var domain, region, far []Controller
-	all := s.known()
-	for _, i := range s.random.Perm(len(all)) {
-		switch c := all[i]; {
-		case c.Domain == s.domain:
-			domain = append(domain, c)
-		case s.region != "" && c.Region == s.region:
-			region = append(region, c)
-		default:
-			far = append(far, c)
-		}
-	}
-	return slices.Concat(domain, region, far)
-}
-
-// known returns each controller once. What the source says about one goes before the settings.
-func (s *Subscriber) known() []Controller {
-	all := slices.Clone(s.source())
-	for _, c := range s.controllers {
-		if !slices.ContainsFunc(all, func(o Controller) bool { return o.Addr == c.Addr }) {
-			all = append(all, c)
-		}
-	}
-	return all
-}
-
 // take puts the snapshot of a frame in effect if it is newer and valid.
 func (s *Subscriber) take(frame wire.Frame) error {
 	next, err := s.build(frame)
