Count datagrams of gossip and attempts of calls by failure domain

Operators could not tell which part of the traffic between failure domains is gossip and which is calls that found no room in their own. Datagrams are counted by kind, attempts and the bytes of answers by service, each with whether they left the failure domain.

--- a/core/gossiper/run.go
+++ b/core/gossiper/run.go
@@ -253,6 +253,7 @@
 		g.log.Error("cannot encode datagram", "to", to.addr, "error", err)
 		return
 	}
+	g.count(to, msg.Kind, len(data))
 	if err := g.send(to.addr, data); err != nil {
 		g.log.Debug("cannot send datagram", "to", to.addr, "error", err)
 	}
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -100,7 +100,7 @@
 		c.arrivals++
 	}
 	c.last = result
-	c.measureAttempt(result)
+	c.measureAttempt(member, result)
 	if ctx.Err() != nil && result.Outcome != deliverer.Answered {
 		kind = Canceled
 	}
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -37,6 +37,7 @@
 	pick     func(service string, skip []string) (wire.Member, func(Outcome), error)
 	local    func(context.Context, deliverer.Order) deliverer.Result
 	self     string
+	domain   string
 	caller   func() string
 	count    func(service string)
 	take     func(service string) bool
@@ -88,6 +89,11 @@
 	return func(d *Dispatcher) { d.self, d.local = self, local }
 }
 
+// WithDomain sets the own failure domain, for metrics of calls that leave it.
+func WithDomain(domain string) Option {
+	return func(d *Dispatcher) { d.domain = domain }
+}
+
 // WithCaller sets the source of the service on this VM, which upstreams are told.
 func WithCaller(caller func() string) Option {
 	return func(d *Dispatcher) { d.caller = caller }
--- a/daemon/dispatcher/meter.go
+++ b/daemon/dispatcher/meter.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/deliverer"
 )
 
@@ -16,10 +17,18 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`bluebell_route_answers_total{service=%q,status="%d"}`, c.service, status)).Inc()
 }
 
-// measureAttempt counts one attempt by what is known about it.
-func (c *call) measureAttempt(r deliverer.Result) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`bluebell_route_attempts_total{service=%q,outcome=%q,arrived="%t"}`,
-		c.service, string(r.Outcome), r.Arrived)).Inc()
+// measureAttempt counts one attempt by what is known about it, and by whether it left the failure domain.
+func (c *call) measureAttempt(member wire.Member, r deliverer.Result) {
+	domain := "other"
+	if member.Domain == c.d.domain {
+		domain = "own"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`bluebell_route_attempts_total{service=%q,outcome=%q,arrived="%t",domain=%q}`,
+		c.service, string(r.Outcome), r.Arrived, domain)).Inc()
+	if r.Answer != nil {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`bluebell_route_bytes_total{service=%q,domain=%q}`, c.service, domain)).
+			Add(len(r.Answer.Body))
+	}
 }
 
 // measureAgain counts a call that was not sent again, by reason.
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -218,6 +218,7 @@
 		dispatcher.WithSnapshot(r.subscriber.Held),
 		dispatcher.WithPick(r.pickRouted),
 		dispatcher.WithLocal(s.Name, r.deliverer.Deliver),
+		dispatcher.WithDomain(s.Domain),
 		dispatcher.WithCaller(func() string { return r.settings.Load().Service }),
 		dispatcher.WithBudget(r.budgeter.Count, r.budgeter.Take),
 		dispatcher.WithDial(peers.Dial, peerDialTimeout),
