Spread the voters over the failure domains

Cause: seats of voters were filled in the order of the log. Ten controllers in five failure domains with five seats could have two voters in each of two failure domains and none in others, also after a cut whose seats were given away; three controllers in one failure domain could hold a majority of five, which the loss of that failure domain would end.

Change: the next voter is a learner of the failure domain with the fewest voters. With all seats taken a voter of a failure domain with two more than that of a waiting learner is demoted first, if the voters that remain have an active majority.

TestFaults plays ten nodes with five seats in five failure domains too.

--- a/controller/replicator/faults_test.go
+++ b/controller/replicator/faults_test.go
@@ -43,7 +43,7 @@
 func TestFaults(t *testing.T) {
 	cases := []struct {
 		name                             string
-		nodes                            int
+		nodes, seats, domains            int
 		loss, crash, partition, lostDisk int
 		skew                             bool
 	}{
@@ -53,13 +53,14 @@
 		{name: "crashes", nodes: 3, loss: 2, crash: 300},
 		{name: "lost disks, one right after the other's repair", nodes: 3, lostDisk: 100_000},
 		{name: "everything", nodes: 5, loss: 5, crash: 20, partition: 40, lostDisk: 100_000},
+		{name: "everything, ten nodes and five seats", nodes: 10, seats: 5, domains: 5, loss: 5, crash: 20, partition: 40, lostDisk: 100_000},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(3) {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					is := is.New(t)
-					s := newSim(t, c.nodes, seed)
+					s := newSim(t, c.nodes, seed, func(s *sim) { s.seats, s.domains = c.seats, c.domains })
 					is.True(s.heal()) // the group forms
 					s.quiet, s.skew, s.loss, s.crash, s.partition, s.lostDisk = false, c.skew, c.loss, c.crash, c.partition, c.lostDisk
 					s.run(20_000)
--- a/controller/replicator/members.go
+++ b/controller/replicator/members.go
@@ -98,41 +98,54 @@
 	c.setNode(node)
 }
 
-// maintain makes at most one change: it removes a lost identity or promotes a learner.
+// maintain makes at most one change: it removes a lost identity, or promotes or demotes a node.
 func (c *core) maintain() {
 	if !c.mayChange() {
 		return
 	}
-	if stale, ok := c.staleLearner(); ok {
-		c.removeNode(stale.ID)
+	if lost, ok := c.lostIdentity(); ok {
+		c.removeNode(lost.ID)
+		return
+	}
+	n, ok := c.successor()
+	if !ok {
+		return
+	}
+	if c.seats == 0 || c.voters() < c.seats {
+		n.Voter = true
+		c.setNode(n)
+		return
+	}
+	if lost, ok := c.lostVoter(); ok {
+		c.removeNode(lost.ID)
 		return
 	}
+	if v, ok := c.crowdedVoter(n.Domain); ok {
+		v.Voter = false
+		c.setNode(v)
+	}
+}
+
+// ready reports whether a learner has caught up and answers.
+func (c *core) ready(n wire.Node) bool {
+	p := c.peers[n.ID]
+	return p != nil && !n.Voter && p.proved && c.active(p) && p.match+caughtUp >= c.log.last()
+}
+
+// lostIdentity returns a node that another identity replaces.
+func (c *core) lostIdentity() (wire.Node, bool) {
+	if stale, ok := c.staleLearner(); ok {
+		return stale, true
+	}
 	for _, n := range c.log.nodes {
-		p := c.peers[n.ID]
-		if p == nil || n.Voter || !p.proved || !c.active(p) || p.match+caughtUp < c.log.last() {
+		if !c.ready(n) {
 			continue
 		}
-		if rival, ok := c.rival(n); ok {
-			if c.removable(rival, c.silence(n, rival)) {
-				c.removeNode(rival.ID)
-				return
-			}
-			continue
-		}
-		if !p.wish {
-			continue
-		}
-		if c.seats > 0 && c.voters() >= c.seats {
-			if lost, ok := c.lostVoter(); ok {
-				c.removeNode(lost.ID)
-				return
-			}
-			continue
+		if rival, ok := c.rival(n); ok && c.removable(rival, c.silence(n, rival)) {
+			return rival, true
 		}
-		n.Voter = true
-		c.setNode(n)
-		return
 	}
+	return wire.Node{}, false
 }
 
 // staleLearner returns a silent learner whose name another node has. A request to join that was delayed can admit an
@@ -169,16 +182,6 @@
 	return silentTicks
 }
 
-// lostVoter returns a voter that was silent for so long that a waiting learner takes its seat.
-func (c *core) lostVoter() (wire.Node, bool) {
-	for _, n := range c.log.nodes {
-		if n.Voter && n.ID != c.self.ID && c.removable(n, seatTicks) {
-			return n, true
-		}
-	}
-	return wire.Node{}, false
-}
-
 func (c *core) voters() int {
 	voters := 0
 	for _, n := range c.log.nodes {
--- a/controller/replicator/seats_test.go
+++ b/controller/replicator/seats_test.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -18,16 +19,8 @@
 		s.nodes[i].core.seats = 3
 	}
 	s.quiet = true
-	settled := func() []wire.Node {
-		for _, n := range s.nodes {
-			if n.core.role == leader && n.core.log.nodesIndex <= n.core.log.commit {
-				return n.core.log.nodes
-			}
-		}
-		return nil
-	}
 	s.run(100 * electionTicks * stepsPerTick)
-	voting, waiting := split(settled())
+	voting, waiting := split(s.settled())
 	is.Equal(len(voting), 3)
 	is.Equal(len(waiting), 1)
 
@@ -39,7 +32,7 @@
 	}
 	s.side[lost] = 1
 	s.run(2 * seatTicks * stepsPerTick)
-	after, _ := split(settled())
+	after, _ := split(s.settled())
 	is.Equal(len(after), 3)
 	for _, n := range after {
 		is.True(n.ID != s.nodes[lost].self.ID)
@@ -47,12 +40,22 @@
 
 	s.side[lost] = 0
 	s.run(100 * electionTicks * stepsPerTick)
-	voting, waiting = split(settled())
+	voting, waiting = split(s.settled())
 	is.Equal(len(voting), 3)
 	is.Equal(len(waiting), 1)
 	is.Equal(waiting[0].ID, s.nodes[lost].self.ID) // it waits for a seat now
 }
 
+// settled returns the membership that the leader of the newest term has committed, or nil.
+func (s *sim) settled() []wire.Node {
+	for _, n := range s.nodes {
+		if n.core != nil && n.core.role == leader && n.core.term == s.maxTerm() && n.core.log.nodesIndex <= n.core.log.commit {
+			return n.core.log.nodes
+		}
+	}
+	return nil
+}
+
 func split(nodes []wire.Node) (voting, waiting []wire.Node) {
 	for _, n := range nodes {
 		if n.Voter {
@@ -99,3 +102,53 @@
 		is.True(!known) // it does not stay as a learner for good
 	}
 }
+
+// TestSpreadSeats guards against voters that share a failure domain while another one has none: the loss of that failure
+// domain after that of two disks would end the majority. It plays ten nodes in five failure domains with five seats.
+func TestSpreadSeats(t *testing.T) {
+	const domains, seats = 5, 5
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 2*domains, seed, func(s *sim) { s.domains, s.seats = domains, seats })
+			s.quiet = true
+			s.awaitSpread(domains)
+			acked := s.acked
+
+			cut := int(seed) % domains
+			s.side[cut], s.side[cut+domains] = 1, 1
+			s.run(6 * seatTicks * stepsPerTick)
+			voting, _ := split(s.settled())
+			is.Equal(len(voting), seats) // a seat of the lost failure domain is taken by another
+			clear(s.side)
+			s.awaitSpread(domains)
+
+			for _, lost := range s.rand.Perm(2 * domains)[:2] { // two disks at once
+				s.freshDisk(lost)
+				s.start(lost)
+			}
+			s.awaitSpread(domains)
+			is.True(s.acked > acked)
+			for _, n := range s.nodes {
+				is.True(n.core.log.commit >= acked)
+			}
+		})
+	}
+}
+
+// awaitSpread waits until each failure domain has one voter and all nodes are members.
+func (s *sim) awaitSpread(domains int) {
+	s.t.Helper()
+	for range 200 {
+		s.run(20 * stepsPerTick)
+		voting, waiting := split(s.settled())
+		held := map[string]bool{}
+		for _, n := range voting {
+			held[n.Domain] = true
+		}
+		if len(voting) == domains && len(held) == domains && len(voting)+len(waiting) == len(s.nodes) {
+			return
+		}
+	}
+	s.t.Fatalf("step %d: voters are not spread: %v", s.now, s.settled())
+}
--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -30,6 +31,7 @@
 	next  uint64
 
 	seats                            int  // most voters; 0 for no limit
+	domains                          int  // failure domains, over which nodes are spread in turn; 0 for one each
 	loss, crash, partition, lostDisk int  // chances per 100,000 steps, loss per 100 packets
 	skew                             bool // clocks of different speed
 	quiet                            bool
@@ -50,11 +52,21 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
 }
 
-func newSim(t *testing.T, count int, seed uint64) *sim {
+func (s *sim) domain(i int) string {
+	if s.domains > 0 {
+		i %= s.domains
+	}
+	return fmt.Sprint("domain-", i)
+}
+
+func newSim(t *testing.T, count int, seed uint64, opts ...func(*sim)) *sim {
 	s := &sim{
 		t: t, rand: rand.New(rand.NewPCG(seed, 0)), side: make([]int, count), leaders: map[uint64]string{},
 		votes: map[string]string{}, voters: map[string]bool{}, history: map[uint64][2]uint64{},
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
 	for i := range count {
 		n := &simNode{}
 		s.nodes = append(s.nodes, n)
@@ -112,17 +124,22 @@
 	}
 }
 
-// repaired reports whether every node's current identity is a voter in the membership that a leader has committed. Then
-// the loss of one more disk must be survived.
+// repaired reports whether every node's current identity is in the membership that a leader has committed, as a voter while
+// there are seats. Then the loss of one more disk must be survived.
 func (s *sim) repaired() bool {
 	for _, n := range s.nodes {
 		c := n.core
 		if c == nil || c.role != leader || c.log.nodesIndex > c.log.commit || len(c.log.nodes) != len(s.nodes) {
 			continue
 		}
-		all := true
+		seats := len(s.nodes)
+		if s.seats > 0 {
+			seats = min(seats, s.seats)
+		}
+		all := c.voters() == seats
 		for _, other := range s.nodes {
-			all = all && c.isVoter(other.self.ID) && c.log.nodesIndex <= other.disk.Base+uint64(len(other.disk.Entries))
+			_, known := c.member(other.self.ID)
+			all = all && known && c.log.nodesIndex <= other.disk.Base+uint64(len(other.disk.Entries))
 		}
 		if all && c.term == s.maxTerm() {
 			return true
--- a/controller/replicator/simnode_test.go
+++ b/controller/replicator/simnode_test.go
@@ -31,7 +31,7 @@
 func (s *sim) freshDisk(i int) {
 	s.next++
 	n := s.nodes[i]
-	n.self = wire.Node{ID: fmt.Sprintf("id%d", s.next), Name: fmt.Sprintf("n%d", i), Addr: simAddr(i), Voter: true}
+	n.self = wire.Node{ID: fmt.Sprintf("id%d", s.next), Name: fmt.Sprintf("n%d", i), Addr: simAddr(i), Domain: s.domain(i), Voter: true}
 	n.cluster, n.disk = "", storer.State{}
 }
 
