Keep hurried exchanges of gossip within the failure domain, and suspicions in the queue

Found while reading: the flag that keeps an exchange which follows soon within the failure domain was reset before the partner was chosen, so that every fourth went to another one. An exchange counted queued suspicions as sent, although exchanges do not tell them.

--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -75,7 +75,7 @@
 // countExchange notes that the partner of an exchange has been told all queued entries.
 func (g *Gossiper) countExchange(partner string) {
 	if g.knownNear(partner) {
-		g.queue.told(len(g.table.list))
+		g.queue.told(g.table)
 	}
 }
 
@@ -121,10 +121,10 @@
 	lacking := make(chan []wire.Member, 1)
 	g.do(func() {
 		lacking <- lacked(g.table, msg.Sums, answer)
-		in := g.merge(answer, time.Now())
-		g.accuse(in.accused)
+		res := g.merge(answer, time.Now())
+		g.accuse(res.accused)
 		g.countExchange(answer.From)
-		g.unsettled = in.changed >= unsettledChanges || in.changed > 0 && len(g.peers(1, g.near)) == 0
+		g.unsettled = res.changed >= unsettledChanges || res.changed > 0 && len(g.peers(1, g.near)) == 0
 		g.synced, g.rejoin = true, nil
 	})
 	back := wire.Gossip{Kind: kindSync, From: msg.From}
--- a/core/gossiper/merge.go
+++ b/core/gossiper/merge.go
@@ -11,8 +11,8 @@
 // rank orders the states of one incarnation: the higher one wins.
 var rank = map[string]int{wire.Alive: 0, wire.Suspect: 1, wire.Dead: 2, wire.Left: 3}
 
-// intake is the merging of one message.
-type intake struct {
+// mergeResult is what the merging of one message has found.
+type mergeResult struct {
 	now      time.Time
 	from     string   // name of the sender
 	quiet    bool     // what the message tells is not pushed on
@@ -24,8 +24,8 @@
 
 // merge takes the entries of a message. Those of an exchange within the failure domain are not pushed on, since its other
 // members exchange too.
-func (g *Gossiper) merge(msg wire.Gossip, now time.Time) intake {
-	in := intake{now: now, from: msg.From, quiet: msg.Kind == kindSync && g.knownNear(msg.From)}
+func (g *Gossiper) merge(msg wire.Gossip, now time.Time) mergeResult {
+	res := mergeResult{now: now, from: msg.From, quiet: msg.Kind == kindSync && g.knownNear(msg.From)}
 	for _, m := range msg.Members {
 		if !valid(m) {
 			continue
@@ -34,76 +34,76 @@
 		e, ok := g.table.byName[m.Name]
 		switch {
 		case !ok:
-			g.insert(m, &in)
-			in.newcomer = in.newcomer || m.Name == msg.From
+			g.insert(m, &res)
+			res.newcomer = res.newcomer || m.Name == msg.From
 		case e == g.self:
 			g.refute(m, now)
 		case m.Inc > e.Inc:
-			g.advance(e, m, &in)
+			g.advance(e, m, &res)
 		case m.Inc == e.Inc && rank[m.State] > rank[e.State]:
-			g.escalate(e, m, &in)
+			g.escalate(e, m, &res)
 		case m.Name == msg.From && (m.Inc < e.Inc || m.State != e.State):
-			in.newcomer = true
-			in.stale = append(in.stale, e)
+			res.newcomer = true
+			res.stale = append(res.stale, e)
 		case m.Inc < e.Inc && e.State == wire.Alive && m.State != wire.Alive && !g.queue.has(e.Name):
 			g.queue.add(e.Name) // a refutation has not reached the sender
 			if !g.knownNear(msg.From) {
-				in.stale = append(in.stale, e) // the queue does not reach it
+				res.stale = append(res.stale, e) // the queue does not reach it
 			}
 		}
 	}
-	return in
+	return res
 }
 
 // insert adds an unknown member. Dead and left ones were dropped here earlier and must not return.
-func (g *Gossiper) insert(m wire.Member, in *intake) {
+func (g *Gossiper) insert(m wire.Member, res *mergeResult) {
 	if m.State == wire.Dead || m.State == wire.Left {
 		return
 	}
 	g.log.Info("new member", "member", m.Name, "addr", m.Addr, "state", m.State)
-	g.table.put(&entry{Member: m, at: in.now})
+	g.table.put(&entry{Member: m, at: res.now})
 	g.dirty = true
-	g.spread(m.Name, in)
+	g.spread(m.Name, res)
 }
 
 // spread queues an entry that a message has changed.
-func (g *Gossiper) spread(name string, in *intake) {
-	in.changed++
-	if !in.quiet {
+func (g *Gossiper) spread(name string, res *mergeResult) {
+	res.changed++
+	if !res.quiet {
 		g.queue.add(name)
 	}
 }
 
 // advance takes an entry with a higher incarnation.
-func (g *Gossiper) advance(e *entry, m wire.Member, in *intake) {
+func (g *Gossiper) advance(e *entry, m wire.Member, res *mergeResult) {
 	if m.State == wire.Dead && e.State != wire.Dead {
 		// Another member's verdict on a member that is not suspected here may come from the other side of a partition.
 		m.State = e.State
-		in.accused = append(in.accused, e)
+		res.accused = append(res.accused, e)
 	}
-	if e.State == wire.Dead && m.State == wire.Alive && m.Name == in.from && !g.near(e) {
+	if e.State == wire.Dead && m.State == wire.Alive && m.Name == res.from && !g.near(e) {
 		g.returned = m.Addr
 	}
 	if m.State != e.State {
 		g.log.Info("member changed state", "member", m.Name, "from", e.State, "to", m.State)
 	}
-	g.store(e, m, in.now)
+	g.store(e, m, res.now)
 	if m.State != wire.Dead {
-		g.spread(m.Name, in)
+		g.spread(m.Name, res)
 	}
 }
 
 // escalate takes an entry of the same incarnation with a worse state.
-func (g *Gossiper) escalate(e *entry, m wire.Member, in *intake) {
+func (g *Gossiper) escalate(e *entry, m wire.Member, res *mergeResult) {
 	switch m.State {
 	case wire.Suspect:
-		g.suspect(e, in.now)
+		g.suspect(e, res.now)
 	case wire.Left:
-		g.store(e, m, in.now)
+		g.store(e, m, res.now)
 		g.queue.add(m.Name)
 	case wire.Dead:
 		if e.State == wire.Alive {
-			in.accused = append(in.accused, e)
+			res.accused = append(res.accused, e)
 		}
 	}
 }
--- a/core/gossiper/probe.go
+++ b/core/gossiper/probe.go
@@ -36,12 +36,12 @@
 // receive handles one datagram.
 func (g *Gossiper) receive(d datagram) {
 	now := time.Now()
-	in := g.merge(d.msg, now)
-	defer g.accuse(in.accused)
+	res := g.merge(d.msg, now)
+	defer g.accuse(res.accused)
 	switch d.msg.Kind {
 	case kindPing:
-		first := append(in.stale, g.self)
-		if in.newcomer {
+		first := append(res.stale, g.self)
+		if res.newcomer {
 			first = append(first, g.introductions()...)
 		}
 		g.sendTo(g.sender(d), wire.Gossip{Kind: kindAck, Seq: d.msg.Seq}, first...)
@@ -50,8 +50,8 @@
 	case kindAck:
 		g.ack(d)
 	}
-	if len(in.stale) > 0 && d.msg.Kind != kindPing {
-		g.sendTo(g.sender(d), wire.Gossip{Kind: kindPush}, in.stale...)
+	if len(res.stale) > 0 && d.msg.Kind != kindPing {
+		g.sendTo(g.sender(d), wire.Gossip{Kind: kindPush}, res.stale...)
 	}
 }
 
--- a/core/gossiper/queue.go
+++ b/core/gossiper/queue.go
@@ -59,13 +59,19 @@
 	return len(q.items) > crowded
 }
 
-// told counts all entries as sent once more.
-func (q *queue) told(n int) {
-	limit := q.limit(n)
-	q.items = slices.DeleteFunc(q.items, func(it item) bool { return it.sent+1 >= limit })
-	for i := range q.items {
-		q.items[i].sent++
+// told counts entries as sent once more after an exchange, but for suspicions, which exchanges don't tell.
+func (q *queue) told(t *table) {
+	limit := q.limit(len(t.list))
+	kept := q.items[:0]
+	for _, it := range q.items {
+		if e, ok := t.byName[it.name]; ok && e.State != wire.Suspect {
+			it.sent++
+		}
+		if it.sent < limit {
+			kept = append(kept, it)
+		}
 	}
+	q.items = kept
 }
 
 // take returns first and the entries sent least often that fit into room bytes, and counts them as sent.
--- a/core/gossiper/run.go
+++ b/core/gossiper/run.go
@@ -76,7 +76,7 @@
 		g.startProbe(now)
 	}
 	g.tryJoin(ctx, now, exchanges)
-	if g.unsettled || g.queue.crowded() {
+	if !g.hurried && (g.unsettled || g.queue.crowded()) {
 		g.syncSoon(now)
 	}
 	if now.Compare(g.nextSync) >= 0 {
@@ -84,6 +84,7 @@
 		// Members that started together would otherwise exchange at the same time for good.
 		g.nextSync = now.Add(g.syncWait/2 + g.jitter(g.syncWait))
 		g.startExchange(ctx, g.partner(), exchangeTimeout, exchanges)
+		g.unsettled, g.hurried = false, false
 	}
 	if now.Compare(g.nextRetry) >= 0 {
 		g.nextRetry = now.Add(retryInterval/2 + g.jitter(retryInterval))
@@ -104,7 +105,7 @@
 	if soon := now.Add(g.jitter(firstSync)); soon.Before(g.nextSync) {
 		g.nextSync, g.syncWait = soon, firstSync
 	}
-	g.unsettled = false
+	g.hurried = true
 }
 
 // resume keeps a process that was frozen from blaming the others for its own silence.
