Limit heads and bodies of answers by the memory of the process

Cause: an upstream that sends bytes without end was read until the deadline: heads and interim answers without a limit, bodies up to 64 MiB each, on VMs where a daemon has 184 MB. One such upstream could end the daemon and all calls with it.

--- a/daemon/courier/client.go
+++ b/daemon/courier/client.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// maxAnswer is the largest answer in bytes. Answers are held in memory whole, so that none is cut on its way.
-	maxAnswer = 64 << 20
 	// readBuffer is the size in bytes of the buffer of a connection.
 	readBuffer = 4 << 10
 	// idleLimit is how long a connection is kept if the other side does not tell its limit.
@@ -45,6 +43,7 @@
 	dial    func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	timeout time.Duration
 	now     func() time.Time
+	memory  memory
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
@@ -58,6 +57,12 @@
 	return func(c *Client) { c.dial, c.timeout = dial, timeout }
 }
 
+// WithMemory sets how many bytes the bodies of answers may take together while they are read. By default it follows the
+// memory limit of the process. Answers are held whole, so that none is cut on its way.
+func WithMemory(bytes int64) Option {
+	return func(c *Client) { c.memory.left.Store(bytes) }
+}
+
 // New returns a client.
 func New(opts ...Option) *Client {
 	c := &Client{
@@ -68,6 +73,7 @@
 		now:     time.Now,
 		idle:    map[netip.AddrPort][]*conn{},
 	}
+	c.memory.left.Store(defaultMemory())
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -88,10 +94,12 @@
 // conn is one connection.
 type conn struct {
 	net.Conn
-	r     *bufio.Reader
-	limit time.Duration // idle time after which it is not used again
-	since time.Time     // when it became idle
-	kept  bool          // it has carried a call before
+	r      *bufio.Reader
+	head   *headReader
+	memory *memory
+	limit  time.Duration // idle time after which it is not used again
+	since  time.Time     // when it became idle
+	kept   bool          // it has carried a call before
 }
 
 // Do sends a call and returns its answer. An error wraps ErrUnsent if no byte was sent, else ErrBroken.
@@ -131,14 +139,14 @@
 	}
 	if err != nil && n < len(data) {
 		// The other side may have answered before it read the whole body.
-		if a, readErr := readAnswer(c.r, call.Request.Method, maxAnswer); readErr == nil && call.matches(a) {
+		if a, readErr := c.readAnswer(call.Request.Method); readErr == nil && call.matches(a) {
 			a.Close = true
 			return a, nil
 		}
 		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
 	for range maxStray {
-		a, err := readAnswer(c.r, call.Request.Method, maxAnswer)
+		a, err := c.readAnswer(call.Request.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -187,7 +195,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBuffer), limit: idleLimit}, nil
+	r, head := newReader(raw)
+	return &conn{Conn: raw, r: r, head: head, memory: &c.memory, limit: idleLimit}, nil
 }
 
 func (c *Client) take(to netip.AddrPort, maxIdle time.Duration) *conn {
--- a/daemon/courier/request.go
+++ b/daemon/courier/request.go
@@ -3,12 +3,9 @@
 package courier
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
-	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 )
@@ -102,25 +99,3 @@
 	}
 	return b.Bytes()
 }
-
-// readAnswer reads one whole response. An answer without a length ends with its connection.
-func readAnswer(r *bufio.Reader, method string, limit int64) (*Answer, error) {
-	for {
-		resp, err := http.ReadResponse(r, &http.Request{Method: method})
-		if err != nil {
-			return nil, fmt.Errorf("%w: %v", ErrBroken, err)
-		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-		if err != nil {
-			return nil, fmt.Errorf("%w: %v", ErrBroken, err)
-		}
-		if int64(len(body)) > limit {
-			return nil, fmt.Errorf("%w: more than %d bytes", ErrBroken, limit)
-		}
-		framed := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
-		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: resp.Close || !framed}, nil
-	}
-}
