--- a/core/compiler/merge_test.go
+++ b/core/compiler/merge_test.go
@@ -123,25 +123,13 @@
 
 // BenchmarkMerge merges a change of one route of 1,700.
 func BenchmarkMerge(b *testing.B) {
-	batch := wire.Batch{Name: "m", Version: 1, Until: 1 << 50, Services: routed}
+	var routes []wire.Route
 	for i := range 1700 {
-		batch.Routes = append(batch.Routes, route(fmt.Sprintf("r-%05d", i), fmt.Sprint("h", i%7), fmt.Sprintf("/%d/", i)))
-	}
-	sum, err := compiler.Sum(batch)
-	if err != nil {
-		b.Fatal(err)
-	}
-	held, err := compiler.New(batch, sum)
-	if err != nil {
-		b.Fatal(err)
-	}
-	next := batch
-	next.Version, next.Routes = 2, slices.Clone(batch.Routes)
-	next.Routes[5].Rank++
-	if sum, err = compiler.Sum(next); err != nil {
-		b.Fatal(err)
+		routes = append(routes, route(fmt.Sprintf("r-%05d", i), fmt.Sprint("h", i%7), fmt.Sprintf("/%d/", i)))
 	}
-	delta := wire.Delta{From: 1, Version: 2, Sum: sum, Until: batch.Until, Routes: next.Routes[5:6]}
+	held := snapshotOf(b, 1, slices.Clone(routes)...)
+	routes[5].Rank++
+	delta := deltaTo(held.Batch(), snapshotOf(b, 2, routes...))
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, err := held.Merge(delta); err != nil {
--- a/core/compiler/routes_test.go
+++ b/core/compiler/routes_test.go
@@ -83,7 +83,7 @@
 	is.True(errors.Is(err, compiler.ErrInvalid)) // the checksum covers routes
 }
 
-func snapshotOf(t *testing.T, version uint64, routes ...wire.Route) *compiler.Snapshot {
+func snapshotOf(t testing.TB, version uint64, routes ...wire.Route) *compiler.Snapshot {
 	t.Helper()
 	batch := wire.Batch{Name: "m", Version: version, Until: 1 << 50, Services: routed, Routes: routes}
 	sum, err := compiler.Sum(batch)
--- a/daemon/subscriber/controller_test.go
+++ b/daemon/subscriber/controller_test.go
@@ -11,6 +11,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/framer"
 	"bluebellhoist/core/wire"
 )
 
@@ -89,6 +90,23 @@
 	}
 }
 
+// beat sends beats until the session ends.
+func (p *peer) beat(beat wire.Beat) {
+	ended := make(chan struct{})
+	go func() {
+		p.drain()
+		close(ended)
+	}()
+	for {
+		select {
+		case <-time.After(framer.BeatInterval):
+			p.send(wire.Frame{Beat: &beat})
+		case <-ended:
+			return
+		}
+	}
+}
+
 func (p *peer) drain() {
 	for {
 		if _, ok := p.next(); !ok {
--- a/daemon/subscriber/moves_test.go
+++ b/daemon/subscriber/moves_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"bluebellhoist/core/framer"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/subscriber"
 )
@@ -26,19 +25,7 @@
 		{"stale controller", converge, func(p *peer) {
 			p.next()
 			p.send(full(5, "a"))
-			ended := make(chan struct{})
-			go func() {
-				p.drain()
-				close(ended)
-			}()
-			for {
-				select {
-				case <-time.After(framer.BeatInterval):
-					p.send(wire.Frame{Beat: &wire.Beat{Version: 5}})
-				case <-ended:
-					return
-				}
-			}
+			p.beat(wire.Beat{Version: 5})
 		}},
 		{"silent connection", converge, func(p *peer) {
 			p.next()
--- a/daemon/subscriber/order_test.go
+++ b/daemon/subscriber/order_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"bluebellhoist/core/framer"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/subscriber"
 )
@@ -22,19 +21,7 @@
 		if frame, ok := p.next(); ok && frame.Hello != nil && frame.Hello.Held < version {
 			p.send(full(version, "a"))
 		}
-		ended := make(chan struct{})
-		go func() {
-			p.drain()
-			close(ended)
-		}()
-		for {
-			select {
-			case <-time.After(framer.BeatInterval):
-				p.send(wire.Frame{Beat: &wire.Beat{Version: version, Fresh: true}})
-			case <-ended:
-				return
-			}
-		}
+		p.beat(wire.Beat{Version: version, Fresh: true})
 	}
 }
 
