--- a/core/gossiper/domain_test.go
+++ b/core/gossiper/domain_test.go
@@ -19,6 +19,7 @@
 func TestStart(t *testing.T) {
 	for _, count := range []int{30, 100, 200} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			t.Parallel()
 			newNetwork(t, 21, 0.01, 5).run(count, func(n *network, nodes []*node) {
 				for _, x := range nodes {
 					x.Update(func(m *wire.Member) { m.Slots++ })
--- a/core/gossiper/network_test.go
+++ b/core/gossiper/network_test.go
@@ -48,10 +48,14 @@
 	crossed       atomic.Int64 // those of both that went to another failure domain, with headers of datagrams
 }
 
-// eachLayout runs f with all nodes in one failure domain and spread over several.
+// eachLayout runs f with all nodes in one failure domain and spread over several, beside other tests.
 func eachLayout(t *testing.T, f func(t *testing.T, domains int)) {
+	t.Parallel()
 	for _, domains := range []int{1, 4} {
-		t.Run(fmt.Sprint(domains, " domains"), func(t *testing.T) { f(t, domains) })
+		t.Run(fmt.Sprint(domains, " domains"), func(t *testing.T) {
+			t.Parallel()
+			f(t, domains)
+		})
 	}
 }
 
