--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -12,8 +12,8 @@
 // answerTimeout bounds Answer while Run is not running.
 const answerTimeout = 2 * time.Second
 
-// foreignExchanges is the number of exchanges of which one may be with any failure domain.
-const foreignExchanges = 4
+// farExchanges is the number of exchanges of which one is with a member of any failure domain.
+const farExchanges = 4
 
 // unsettledChanges is the number of changes in an exchange from which the next one follows soon. While a whole failure
 // domain starts, exchanges tell its members of each other in a tenth of the bytes of pushes.
@@ -81,7 +81,7 @@
 
 // partner returns the address of a random reachable member, mostly of the own failure domain.
 func (g *Gossiper) partner() netip.AddrPort {
-	if g.unsettled || g.rand.IntN(foreignExchanges) > 0 {
+	if g.unsettled || g.rand.IntN(farExchanges) > 0 {
 		for _, e := range g.peers(1, g.near) {
 			return e.Addr
 		}
--- a/core/gossiper/outbound.go
+++ b/core/gossiper/outbound.go
@@ -80,15 +80,15 @@
 	return taken
 }
 
-// foreign is the reachable members of another failure domain.
-type foreign struct {
+// domainMembers is the reachable members of another failure domain.
+type domainMembers struct {
 	domain  string
 	members []*entry
 }
 
-// foreigners returns the reachable members of other failure domains.
-func (g *Gossiper) foreigners() []foreign {
-	var all []foreign
+// otherDomains returns the reachable members of other failure domains.
+func (g *Gossiper) otherDomains() []domainMembers {
+	var all []domainMembers
 	at := map[string]int{}
 	for _, e := range g.table.list {
 		if e == g.self || g.near(e) || !e.reachable() {
@@ -98,17 +98,17 @@
 		if !ok {
 			i = len(all)
 			at[e.Domain] = i
-			all = append(all, foreign{domain: e.Domain})
+			all = append(all, domainMembers{domain: e.Domain})
 		}
 		all[i].members = append(all[i].members, e)
 	}
 	return all
 }
 
-// tellOthers sends what other failure domains must be told to one random member of each.
-func (g *Gossiper) tellOthers() {
+// tellOtherDomains sends what other failure domains must be told to one random member of each.
+func (g *Gossiper) tellOtherDomains() {
 	g.outbound.prune(g.table, g.self.Name)
-	for _, f := range g.foreigners() {
+	for _, f := range g.otherDomains() {
 		if g.outbound.due(f.domain) {
 			e := f.members[g.rand.IntN(len(f.members))]
 			g.sendTo(e.target(), wire.Gossip{Kind: kindPush})
@@ -116,11 +116,11 @@
 	}
 }
 
-// introductions returns a random member of each other failure domain. A newcomer that knows one of each can tell all of
+// onePerDomain returns a random member of each other failure domain. A newcomer that knows one of each can tell all of
 // itself before it has exchanged tables.
-func (g *Gossiper) introductions() []*entry {
+func (g *Gossiper) onePerDomain() []*entry {
 	var all []*entry
-	for _, f := range g.foreigners() {
+	for _, f := range g.otherDomains() {
 		all = append(all, f.members[g.rand.IntN(len(f.members))])
 	}
 	return all
--- a/core/gossiper/probe.go
+++ b/core/gossiper/probe.go
@@ -42,7 +42,7 @@
 	case kindPing:
 		first := append(res.stale, g.self)
 		if res.newcomer {
-			first = append(first, g.introductions()...)
+			first = append(first, g.onePerDomain()...)
 		}
 		g.sendTo(g.sender(d), wire.Gossip{Kind: kindAck, Seq: d.msg.Seq}, first...)
 	case kindRelay:
--- a/core/gossiper/run.go
+++ b/core/gossiper/run.go
@@ -76,7 +76,7 @@
 		g.startProbe(now)
 	}
 	g.tryJoin(ctx, now, exchanges)
-	if !g.hurried && (g.unsettled || g.queue.crowded()) {
+	if !g.forward && (g.unsettled || g.queue.crowded()) {
 		g.syncSoon(now)
 	}
 	if now.Compare(g.nextSync) >= 0 {
@@ -84,7 +84,7 @@
 		// Members that started together would otherwise exchange at the same time for good.
 		g.nextSync = now.Add(g.syncWait/2 + g.jitter(g.syncWait))
 		g.startExchange(ctx, g.partner(), exchangeTimeout, exchanges)
-		g.unsettled, g.hurried = false, false
+		g.unsettled, g.forward = false, false
 	}
 	if now.Compare(g.nextRetry) >= 0 {
 		g.nextRetry = now.Add(retryInterval/2 + g.jitter(retryInterval))
@@ -97,7 +97,7 @@
 	}
 	g.announceLeave()
 	g.push()
-	g.tellOthers()
+	g.tellOtherDomains()
 }
 
 // syncSoon brings the next exchange forward.
@@ -105,7 +105,7 @@
 	if soon := now.Add(g.jitter(firstSync)); soon.Before(g.nextSync) {
 		g.nextSync, g.syncWait = soon, firstSync
 	}
-	g.hurried = true
+	g.forward = true
 }
 
 // resume keeps a process that was frozen from blaming the others for its own silence.
@@ -211,7 +211,7 @@
 	for _, e := range g.peers(fanout, g.near) {
 		g.sendTo(e.target(), wire.Gossip{Kind: kindPush}, g.self)
 	}
-	g.tellOthers()
+	g.tellOtherDomains()
 }
 
 // push sends queued updates to random members of the own failure domain.
