--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -90,7 +90,7 @@
 	syncing   bool
 	synced    bool
 	unsettled bool             // the last exchange has changed many entries
-	forward   bool             // the next exchange has been brought forward
+	early     bool             // the next exchange has been brought forward
 	deafUntil time.Time        // datagrams are dropped until then
 	rejoin    []netip.AddrPort // addresses of members forgotten after a long stall
 	returned  netip.AddrPort   // member of another failure domain that was dead here and has been heard from
--- a/core/gossiper/run.go
+++ b/core/gossiper/run.go
@@ -76,7 +76,19 @@
 		g.startProbe(now)
 	}
 	g.tryJoin(ctx, now, exchanges)
-	if !g.forward && (g.unsettled || g.queue.crowded()) {
+	g.sync(ctx, now, exchanges)
+	if now.Compare(g.nextRetry) >= 0 {
+		g.nextRetry = now.Add(retryInterval/2 + g.jitter(retryInterval))
+		g.retry()
+	}
+	g.announceLeave()
+	g.push()
+	g.tellOtherDomains()
+}
+
+// sync starts the exchange that is due.
+func (g *Gossiper) sync(ctx context.Context, now time.Time, exchanges chan<- struct{}) {
+	if !g.early && (g.unsettled || g.queue.crowded()) {
 		g.syncSoon(now)
 	}
 	if now.Compare(g.nextSync) >= 0 {
@@ -84,20 +96,13 @@
 		// Members that started together would otherwise exchange at the same time for good.
 		g.nextSync = now.Add(g.syncWait/2 + g.jitter(g.syncWait))
 		g.startExchange(ctx, g.partner(), exchangeTimeout, exchanges)
-		g.unsettled, g.forward = false, false
-	}
-	if now.Compare(g.nextRetry) >= 0 {
-		g.nextRetry = now.Add(retryInterval/2 + g.jitter(retryInterval))
-		g.retry()
+		g.unsettled, g.early = false, false
 	}
 	if g.returned.IsValid() && !g.syncing {
 		// The failure domains have been cut off from each other. One exchange tells either of all members of the other.
 		g.startExchange(ctx, g.returned, exchangeTimeout, exchanges)
 		g.returned = netip.AddrPort{}
 	}
-	g.announceLeave()
-	g.push()
-	g.tellOtherDomains()
 }
 
 // syncSoon brings the next exchange forward.
@@ -105,7 +110,7 @@
 	if soon := now.Add(g.jitter(firstSync)); soon.Before(g.nextSync) {
 		g.nextSync, g.syncWait = soon, firstSync
 	}
-	g.forward = true
+	g.early = true
 }
 
 // resume keeps a process that was frozen from blaming the others for its own silence.
