Refuse calls before a stopping daemon closes its connections, and wait until answers are written

A call is read at 22.53 s, passed on at 22.540 s, and at that moment its connection is closed without an answer (LOST). The daemon looked for 300 ms without calls and then closed all connections; what came between the look and the close was passed on and cut. The counter of calls in progress also ends before the answer is written.

Ruled out: the limit of the stop (2.3 s of 10 s had passed) and the order of leaving, which worked.

Change: after the quiet time calls are refused as not run, and the daemon waits once more until none is in progress and all answers are written. A call is counted before it looks whether calls are refused, so that one of the two sees the other.

TestLastCall and TestSlowAnswer fail on the code before.

--- a/daemon/pipeliner/pipeliner.go
+++ b/daemon/pipeliner/pipeliner.go
@@ -119,6 +119,17 @@
 	s.closing.Store(true)
 }
 
+// Pending returns the number of calls that were read and whose answers are not written yet.
+func (s *Server) Pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pending := 0
+	for c := range s.conns {
+		pending += int(c.pending.Load())
+	}
+	return pending
+}
+
 func (s *Server) add(c *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -241,11 +241,12 @@
 
 // handle answers one routed call and counts it while it is in progress.
 func (r *Runner) handle(ctx context.Context, request *courier.Request) *courier.Answer {
+	// The call is counted before the look, so that a stop which has seen no call refuses this one.
+	r.calls.Add(1)
+	defer r.calls.Add(-1)
 	if r.refusing.Load() {
 		return r.dispatcher.Refuse("the daemon is stopping")
 	}
-	r.calls.Add(1)
-	defer r.calls.Add(-1)
 	r.lastCall.Store(time.Now().UnixNano())
 	return r.dispatcher.Handle(ctx, request)
 }
--- a/daemon/runner/stop.go
+++ b/daemon/runner/stop.go
@@ -95,14 +95,24 @@
 	}
 }
 
-// awaitQuiet returns once no routed call is in progress and none came for a while.
+// awaitQuiet returns once no routed call is in progress and none came for a while. A call that comes later is refused, since
+// its connection is about to be closed.
 func (r *Runner) awaitQuiet(ctx context.Context) {
+	r.awaitIdle(ctx, quietTime)
+	r.refusing.Store(true)
+	r.awaitIdle(ctx, 0)
+	if ctx.Err() != nil {
+		r.log.Warn("stop limit reached", "calls", r.calls.Load(), "load", r.limiter.Load())
+	}
+}
+
+// awaitIdle waits until no call came for the given time and all are answered.
+func (r *Runner) awaitIdle(ctx context.Context, quiet time.Duration) {
 	for ctx.Err() == nil {
-		quiet := time.Since(time.Unix(0, r.lastCall.Load())) >= quietTime
-		if quiet && r.calls.Load() == 0 && r.limiter.Load() == 0 {
+		last := time.Unix(0, r.lastCall.Load())
+		if time.Since(last) >= quiet && r.calls.Load() == 0 && r.limiter.Load() == 0 && r.pipeliner.Pending() == 0 {
 			return
 		}
 		waiter.Slept(ctx, stopPoll)
 	}
-	r.log.Warn("stop limit reached", "calls", r.calls.Load(), "load", r.limiter.Load())
 }
--- a/daemon/runner/stop_test.go
+++ b/daemon/runner/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +12,8 @@
 
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/dispatcher"
+	"bluebellhoist/daemon/limiter"
+	"bluebellhoist/daemon/pipeliner"
 )
 
 // TestPlanStop guards against a stopping daemon that takes calls which it cannot finish before it is killed, and against
@@ -49,3 +53,49 @@
 	is.True(a.Header.Get("Retry-After") != "")
 	is.Equal(r.calls.Load(), int64(0))
 }
+
+// TestLastCall guards against a call that comes between the last look of a stopping daemon and its end, is passed on and cut.
+func TestLastCall(t *testing.T) {
+	is := is.New(t)
+	r := &Runner{dispatcher: dispatcher.New(), limiter: limiter.New(), pipeliner: pipeliner.New()}
+	r.awaitQuiet(t.Context())
+	is.True(r.refusing.Load())
+}
+
+// TestSlowAnswer guards against a stopping daemon that ends while an answer is still being written.
+func TestSlowAnswer(t *testing.T) {
+	is := is.New(t)
+	answering := make(chan struct{})
+	server := pipeliner.New(pipeliner.WithHandle(func(context.Context, *courier.Request) *courier.Answer {
+		close(answering)
+		return &courier.Answer{Status: http.StatusOK, Body: make([]byte, 64<<20)} // more than the sockets hold
+	}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx, listener) }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-answering
+	r := &Runner{dispatcher: dispatcher.New(), limiter: limiter.New(), pipeliner: server}
+	quiet := make(chan struct{})
+	go func() {
+		r.awaitQuiet(ctx)
+		close(quiet)
+	}()
+	_, err = io.CopyN(io.Discard, caller, 1<<20)
+	is.NoErr(err)
+	select {
+	case <-quiet:
+		t.Fatal("the daemon would end before the answer is written")
+	default:
+	}
+	_, err = io.CopyN(io.Discard, caller, 63<<20)
+	is.NoErr(err)
+	<-quiet
+	cancel()
+	<-served
+}
