Soak: end connections with their context, use loopback networks that no other soak uses

Found at the landing: a soak that was cancelled did not end for ten minutes. A dump of its goroutines shows relays that read from connections which were accepted as the run was cancelled, after the relays had reset all connections they knew.

Change: each connection of a relay ends with the context. A seed reserves a loopback network by binding a port on it and passes over networks in use.

--- a/soak/main.go
+++ b/soak/main.go
@@ -51,7 +51,7 @@
 	flags := ff.NewFlagSet("soak")
 	flags.StringVar(&s.seeds, 0, "seeds", "1", "seeds, as in 1-50,77")
 	flags.IntVar(&s.parallel, 0, "parallel", 1, "seeds to play at a time")
-	flags.IntVar(&s.net, 0, "net", 40, "second byte of the loopback addresses of the first seed at a time; the others follow")
+	flags.IntVar(&s.net, 0, "net", 40, "second byte of the first loopback network to try; one that is in use is passed over")
 	flags.StringVar(&s.Programs, 0, "programs", "out/bin", "folder with the programs controller and daemon")
 	flags.StringVar(&s.Folder, 0, "folder", "out/soak", "folder for settings, data and logs")
 	flags.IntVar(&s.Controllers, 0, "controllers", 3, "controllers")
@@ -100,31 +100,26 @@
 // all plays seeds, some at a time, and returns the exit code.
 func (s settings) all(ctx context.Context, seeds []uint64, stdout io.Writer) int {
 	type end struct {
-		net  byte
 		code int
 		text string
 	}
 	ends := make(chan end, s.parallel)
-	free := make([]byte, 0, s.parallel)
-	for i := range s.parallel {
-		free = append(free, byte(s.net+i))
-	}
 	code, running := exitGood, 0
 	for len(seeds) > 0 || running > 0 {
-		for len(seeds) > 0 && len(free) > 0 && ctx.Err() == nil {
+		for len(seeds) > 0 && running < s.parallel && ctx.Err() == nil {
 			one := s.Settings
-			one.Seed, one.Net = seeds[0], free[0]
-			seeds, free, running = seeds[1:], free[1:], running+1
+			one.Seed = seeds[0]
+			seeds, running = seeds[1:], running+1
 			go func() {
 				code, text := s.one(ctx, one)
-				ends <- end{one.Net, code, text}
+				ends <- end{code, text}
 			}()
 		}
 		if running == 0 {
 			return exitNoRun
 		}
 		e := <-ends
-		free, running, code = append(free, e.net), running-1, max(code, e.code)
+		running, code = running-1, max(code, e.code)
 		fmt.Fprint(stdout, e.text)
 	}
 	return code
@@ -149,6 +144,12 @@
 		return fail(err)
 	}
 	defer func() { _ = out.Close() }()
+	free, release, err := reserve(s.net)
+	if err != nil {
+		return fail(err)
+	}
+	defer release()
+	one.Net = free
 	r := runner.New(one, hclog.New(&hclog.LoggerOptions{Output: out, TimeFormat: "15:04:05.000"}))
 	if s.plan {
 		for _, step := range planner.Plan(one.Seed, r.Shape()) {
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"strings"
 	"testing"
 
@@ -53,3 +54,21 @@
 		is.Equal(first, second)
 	})
 }
+
+// TestReserve guards against two soaks on one machine that use the same addresses.
+func TestReserve(t *testing.T) {
+	is := is.New(t)
+	first, release, err := reserve(240)
+	is.NoErr(err)
+	second, releaseSecond, err := reserve(240)
+	is.NoErr(err)
+	defer releaseSecond()
+	is.True(second != first)
+	release()
+	third, releaseThird, err := reserve(240)
+	is.NoErr(err)
+	defer releaseThird()
+	is.True(third != second)
+	_, _, err = reserve(lastNet + 1)
+	is.True(errors.Is(err, errNoNet))
+}
--- a/soak/relayer/relayer.go
+++ b/soak/relayer/relayer.go
@@ -95,9 +95,8 @@
 	return nil
 }
 
-// Wait returns once all relays have ended.
+// Wait returns once all relays have ended, after the contexts of Open.
 func (r *Relayer) Wait() {
-	r.Reset("", "")
 	r.work.Wait()
 }
 
@@ -192,6 +191,8 @@
 	p := &pair{link: there, near: near, far: far.(*net.TCPConn)}
 	r.track(p, true)
 	defer r.track(p, false)
+	stop := context.AfterFunc(ctx, p.reset)
+	defer stop()
 	ended := make(chan struct{}, 2)
 	go func() { r.pump(ctx, p, there, p.near, p.far); ended <- struct{}{} }()
 	go func() { r.pump(ctx, p, Link{relay.Name, from}, p.far, p.near); ended <- struct{}{} }()
--- a/soak/relayer/relayer_test.go
+++ b/soak/relayer/relayer_test.go
@@ -116,3 +116,23 @@
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
+
+// TestEnd guards against a run that never ends because a connection came as it was cancelled and nobody closes it.
+func TestEnd(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	ctx, cancel := context.WithCancel(t.Context())
+	r := relayer.New()
+	public := netip.MustParseAddrPort(free(t))
+	is.NoErr(r.Open(ctx, relayer.Relay{Name: "b", Public: public, Private: netip.MustParseAddrPort(listener.Addr().String()), Caller: "a"}))
+	conn, err := net.Dial("tcp", public.String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	far, err := listener.Accept()
+	is.NoErr(err)
+	defer func() { _ = far.Close() }()
+	cancel()
+	r.Wait() // both ends stay open
+}
