Count the arrivals at upstreams by what caused them

Callers of archive were answered with rejections while its upstreams got more retries than the budget allows. Logs and metrics could not tell whether retries that daemons granted or calls of retried runs made the excess.

Each daemon now records what its upstream gets: first arrivals, retries, and first arrivals of calls that the run of a retry makes (tracer: their ids begin with the id of the run, as explain reads them already). A header between daemons says what an arrival is and how old the call is; daemons without it are understood. tallier writes the counts twice a second and as metrics, and bluebellctl budget finds the window of all daemons that came closest to the limit. No decision changes.

--- a/bluebellctl/main.go
+++ b/bluebellctl/main.go
@@ -64,7 +64,7 @@
 		Name:        "bluebellctl",
 		Usage:       "bluebellctl [FLAGS] COMMAND ...",
 		Flags:       p.flags,
-		Subcommands: []*ff.Command{p.apply(), p.check(), p.batches(), p.batch(), p.status(), p.wait(), p.explain()},
+		Subcommands: []*ff.Command{p.apply(), p.check(), p.batches(), p.batch(), p.status(), p.wait(), p.explain(), p.budget()},
 	}
 	if err := root.Parse(args, ff.WithEnvVarPrefix("BLUEBELLCTL")); err != nil {
 		fmt.Fprintf(stderr, "%s\n%v\n", ffhelp.Command(root.GetSelected()), err)
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -12,6 +12,7 @@
 
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/courier"
+	"bluebellhoist/daemon/tracer"
 )
 
 const (
@@ -40,10 +41,11 @@
 	Service     string
 	Class       string
 	Deadline    time.Time
-	Target      time.Time // the answer should arrive by then; zero for none
-	Route       string    // name of the route; calls on one route take about the same time
-	Retryable   bool      // the call may run more than once
-	CallerRetry bool      // the caller is probably retrying after a refusal
+	Target      time.Time      // the answer should arrive by then; zero for none
+	Route       string         // name of the route; calls on one route take about the same time
+	Retryable   bool           // the call may run more than once
+	CallerRetry bool           // the caller is probably retrying after a refusal
+	Arrival     tracer.Arrival // what the arrival at the upstream counts as
 }
 
 // Result is the result of a call.
@@ -72,6 +74,8 @@
 	acquire       func(ctx context.Context, class string, latest time.Time) (func(SlotOutcome), error)
 	onUnreachable func(wire.Upstream)
 	load          func() int
+	beginRun      func(id string, kind tracer.Kind, deadline time.Time)
+	countArrival  func(service string, kind tracer.Kind)
 	client        *courier.Client
 	names         courier.HeaderNames
 	durations     durations
@@ -101,6 +105,11 @@
 	return func(d *Deliverer) { d.load = load }
 }
 
+// WithArrivals sets the functions that record a run before it is sent to the upstream, and that count its arrival.
+func WithArrivals(begin func(id string, kind tracer.Kind, deadline time.Time), count func(service string, kind tracer.Kind)) Option {
+	return func(d *Deliverer) { d.beginRun, d.countArrival = begin, count }
+}
+
 // WithHeaderNames sets the header names.
 func WithHeaderNames(names courier.HeaderNames) Option {
 	return func(d *Deliverer) { d.names = names }
@@ -111,6 +120,8 @@
 	d := &Deliverer{
 		onUnreachable: func(wire.Upstream) {},
 		load:          func() int { return -1 },
+		beginRun:      func(string, tracer.Kind, time.Time) {},
+		countArrival:  func(string, tracer.Kind) {},
 		client:        courier.New(),
 		names:         courier.DefaultHeaderNames(),
 	}
@@ -160,6 +171,8 @@
 		release(Ignored)
 		return notRun("the deadline passed before the call was sent")
 	}
+	d.beginRun(c.Request.Header.Get(d.names.Attempt), c.Arrival.Kind, c.Deadline)
+	d.countArrival(c.Service, c.Arrival.Kind)
 	began := time.Now()
 	result, slotOutcome := d.send(ctx, c, after)
 	release(slotOutcome)
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bluebellhoist/daemon/courier"
+	"bluebellhoist/daemon/tracer"
 )
 
 // Headers between daemons. Each holds several fields to keep calls between failure domains small.
@@ -49,6 +50,9 @@
 		c.Service, c.Class, millis(time.Until(c.Deadline)), target, url.QueryEscape(c.Route), strconv.FormatBool(c.Retryable),
 		strconv.FormatBool(c.CallerRetry),
 	}, fieldSeparator))
+	if arrival := c.Arrival.Encode(time.Now()); arrival != "" {
+		request.Header.Set(tracer.HeaderArrival, arrival)
+	}
 	return &request
 }
 
@@ -87,6 +91,9 @@
 	if c.CallerRetry, err = strconv.ParseBool(fields[6]); err != nil {
 		return Call{}, fmt.Errorf("%w: caller retry: %v", errPeerHeader, err)
 	}
+	if c.Arrival, err = tracer.ParseArrival(r.Header.Get(tracer.HeaderArrival), now); err != nil {
+		return Call{}, fmt.Errorf("%w: %w", errPeerHeader, err)
+	}
 	if c.Request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxBodyBytes)); err != nil {
 		return Call{}, fmt.Errorf("body: %w", err)
 	}
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -10,6 +10,7 @@
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
+	"bluebellhoist/daemon/tracer"
 )
 
 // call is one in-flight call.
@@ -23,6 +24,7 @@
 	started       time.Time
 	deadline      time.Time
 	callerTimeout time.Duration // how long the caller waits from started on
+	firstKind     tracer.Kind   // kind of the first arrival of the call
 	priorWait     time.Duration // how long the caller has probably waited before this call, in earlier attempts
 
 	noRetryReason string          // why the call was not retried, or empty
@@ -123,6 +125,7 @@
 func (c *call) send(ctx context.Context, member wire.Member) (deliverer.Result, Result) {
 	outgoing := deliverer.Call{
 		Request: c.request, Service: c.service, Deadline: c.deadline, Route: c.route.Name, Retryable: c.route.Retryable,
+		Arrival: tracer.Arrival{Kind: c.arrivalKind(), Started: c.started},
 	}
 	c.setPriority(&outgoing)
 	if member.Name == c.d.self {
@@ -145,6 +148,14 @@
 	return result, resultOf(result)
 }
 
+// arrivalKind returns the kind of the next arrival of the call at an upstream.
+func (c *call) arrivalKind() tracer.Kind {
+	if c.sent > 0 {
+		return tracer.Retry
+	}
+	return c.firstKind
+}
+
 func resultOf(r deliverer.Result) Result {
 	switch {
 	case r.Outcome == deliverer.NotRun:
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
+	"bluebellhoist/daemon/tracer"
 )
 
 const (
@@ -42,6 +43,7 @@
 	callerService func() string
 	countCall     func(service string)
 	allowRetry    func(service string) bool
+	kindOf        func(id string) tracer.Kind
 	peers         *courier.Client
 	names         courier.HeaderNames
 	log           hclog.Logger
@@ -107,6 +109,11 @@
 	return func(d *Dispatcher) { d.countCall, d.allowRetry = count, allow }
 }
 
+// WithKindOf sets the function that returns the kind of the first arrival of a call.
+func WithKindOf(kindOf func(id string) tracer.Kind) Option {
+	return func(d *Dispatcher) { d.kindOf = kindOf }
+}
+
 // WithDial sets the function that opens connections to other daemons, and its timeout.
 func WithDial(dial func(context.Context, netip.AddrPort) (net.Conn, error), timeout time.Duration) Option {
 	return func(d *Dispatcher) { d.peers = courier.New(courier.WithDial(dial, timeout)) }
@@ -129,6 +136,7 @@
 		callerService: func() string { return "" },
 		countCall:     func(string) {},
 		allowRetry:    func(string) bool { return false },
+		kindOf:        func(string) tracer.Kind { return tracer.First },
 		peers:         courier.New(),
 		names:         courier.DefaultHeaderNames(),
 		log:           hclog.NewNullLogger(),
@@ -198,6 +206,7 @@
 		d: d, route: route, request: request, id: request.Header.Get(d.names.Attempt),
 		started: arrival, service: d.splitter(route).next(), version: snapshot.Version(),
 	}
+	c.firstKind = d.kindOf(c.id)
 	c.deadline, c.callerTimeout = d.deadline(request.Header, route, arrival)
 	c.priorWait = d.priorWait(route, c.callerTimeout)
 	d.prepare(request.Header)
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -34,6 +34,8 @@
 	"bluebellhoist/daemon/pipeliner"
 	"bluebellhoist/daemon/router"
 	"bluebellhoist/daemon/subscriber"
+	"bluebellhoist/daemon/tallier"
+	"bluebellhoist/daemon/tracer"
 )
 
 // peerDialTimeout bounds connecting to another daemon for routed calls. Even between regions that takes only a few
@@ -66,6 +68,8 @@
 	router        *router.Router
 	forwarder     *forwarder.Forwarder
 	budgeter      *budgeter.Budgeter
+	tracer        *tracer.Tracer
+	tallier       *tallier.Tallier
 	deliverer     *deliverer.Deliverer
 	dispatcher    *dispatcher.Dispatcher
 	pipeliner     *pipeliner.Server
@@ -211,11 +215,14 @@
 		budgeter.WithLimits(func() budgeter.Limits { return r.settings.Load().Budget.limits() }),
 		budgeter.WithMembers(r.countDaemons),
 	)
+	r.tracer = tracer.New()
+	r.tallier = tallier.New(tallier.WithLogger(r.log.Named("tallier")))
 	r.deliverer = deliverer.New(
 		deliverer.WithUpstream(r.announcer.Upstream),
 		deliverer.WithAcquire(r.acquireForRoutedCall),
 		deliverer.WithUnreachable(r.announcer.MarkUnreachable),
 		deliverer.WithLoad(r.limiter.Load),
+		deliverer.WithArrivals(r.tracer.Begin, func(service string, kind tracer.Kind) { r.tallier.Count(service, kind, true) }),
 		deliverer.WithHeaderNames(r.names),
 	)
 	r.dispatcher = dispatcher.New(
@@ -224,6 +231,7 @@
 		dispatcher.WithLocalDelivery(s.Name, r.deliverer.Deliver),
 		dispatcher.WithDomain(s.Domain),
 		dispatcher.WithCallerService(func() string { return r.settings.Load().Service }),
+		dispatcher.WithKindOf(r.tracer.KindOf),
 		dispatcher.WithBudget(r.budgeter.CountCall, r.budgeter.AllowRetry),
 		dispatcher.WithDial(peers.Dial, peerDialTimeout),
 		dispatcher.WithHeaderNames(r.names),
@@ -278,6 +286,7 @@
 	var group run.Group
 	components := []func(context.Context) error{
 		r.subscriber.Run, r.claimer.Run, r.gossiper.Run, r.exchanger.Run, r.announcer.Run, r.deliverer.Run, r.dispatcher.Run,
+		r.tallier.Run,
 	}
 	if r.watcher != nil {
 		components = append(components, r.watcher.Run)
--- /dev/null
+++ b/daemon/tallier/tallier_test.go
@@ -0,0 +1,50 @@
+package tallier_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"bluebellhoist/daemon/tallier"
+	"bluebellhoist/daemon/tracer"
+)
+
+// TestCount guards against arrivals that are missing in the log or counted twice, also at the end of the process.
+func TestCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		set := metrics.NewSet()
+		ta := tallier.New(
+			tallier.WithLogger(hclog.New(&hclog.LoggerOptions{Output: &out, DisableTime: true})),
+			tallier.WithMetrics(set),
+		)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- ta.Run(ctx) }()
+		ta.Count("a", tracer.First, true)
+		ta.Count("a", tracer.Retry, true)
+		ta.Count("a", tracer.Retry, false)
+		time.Sleep(tallier.Interval + time.Millisecond)
+		synctest.Wait()
+		is.True(strings.Contains(out.String(), "arrivals: service=a first=1 retry=1 nested=0 refused=1"))
+		out.Reset()
+		time.Sleep(10 * tallier.Interval)
+		synctest.Wait()
+		is.Equal(out.String(), "") // nothing has arrived
+		ta.Count("a", tracer.Nested, true)
+		cancel()
+		<-done
+		is.True(strings.Contains(out.String(), "arrivals: service=a first=0 retry=0 nested=1 refused=0"))
+		var text bytes.Buffer
+		set.WritePrometheus(&text)
+		is.True(strings.Contains(text.String(), `bluebell_arrivals_total{service="a",kind="retry",admitted="false"} 1`))
+	})
+}
