Do not tell a call as not run while its other attempt may have run

A safe call without an answer after 1 s is sent to a second member. If that one refused it and the first attempt then broke off, the caller was told that the call had not run, though the first attempt may have run it. The result of two attempts took its outcome from the second one alone; now it is not-run only if both are. TestRefusedHedge failed before, with 503 and with 400.

--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -144,7 +144,7 @@
 // passThrough returns the response of a member as the result. If an earlier attempt may have run, a not-run outcome
 // becomes unknown. The outcome of the attempt is reported after the response has been written.
 func (d *delivery) passThrough(ctx context.Context, t attemptResult, report func(Outcome), mayHaveRun bool) result {
-	if mayHaveRun && t.notRun {
+	if t.answer.header.Get(HeaderOutcome) == OutcomeNotRun && (mayHaveRun || !t.notRun) {
 		t.answer.header.Set(HeaderOutcome, OutcomeUnknown)
 	}
 	return result{answer: t.answer, done: func(err error) {
@@ -161,7 +161,7 @@
 type attemptResult struct {
 	answer    *answer
 	outcome   Outcome
-	notRun    bool // the call is known not to have run
+	notRun    bool // the call is known not to have run, nor to run in an attempt at the same time
 	retryable bool // the call may be sent to another member
 	final     bool // the response is passed on to the caller
 	cancel    context.CancelFunc
--- a/daemon/forwarder/hedge.go
+++ b/daemon/forwarder/hedge.go
@@ -59,6 +59,7 @@
 	}
 	cancelFirst()
 	report(t.outcome)
+	h.notRun = h.notRun && t.notRun
 	return h.attemptResult, h.report
 }
 
--- a/daemon/forwarder/hedge_test.go
+++ b/daemon/forwarder/hedge_test.go
@@ -1,9 +1,12 @@
 package forwarder_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
+
+	"bluebellhoist/daemon/forwarder"
 )
 
 // TestFrozenMember guards against safe calls that wait for their deadline at a frozen member, whose kernel still
@@ -44,3 +47,26 @@
 		})
 	}
 }
+
+// TestRefusedHedge guards against a call whose first attempt may have run and is told not to have run, since a second one at
+// the same time was refused.
+func TestRefusedHedge(t *testing.T) {
+	for status, outcome := range map[int]string{503: "not-run", 400: "not-run"} {
+		run(t, fmt.Sprint(status), 0, func(m *mesh) {
+			m.addMember(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(2 * time.Second): // longer than the delay of the second attempt
+				case <-r.Context().Done():
+				}
+				panic(http.ErrAbortHandler)
+			}))
+			m.addMember(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(forwarder.HeaderOutcome, outcome)
+				w.WriteHeader(status)
+			}))
+			resp, _, err := m.call("GET", "stock", "")
+			m.is.NoErr(err)
+			m.is.Equal(resp.Header.Get(forwarder.HeaderOutcome), "unknown")
+		})
+	}
+}
