Limit retries to services by the budget of all daemons as well

The own path had a budget of its own: each daemon allowed itself a tenth of its calls plus ten retries, whatever other daemons and retried runs did, so 1,200 daemons could send 12,000 retries to one service at once.

The daemon of the upstream now admits these retries with the same engine and accounts as those on routes; hedges count as retries. A call that a run makes is known by the headers that upstreams pass on. A call whose first attempt may have run and whose retry is not admitted ends as unknown, a claim of an attempt that is not sent is released. The limit of one daemon stays for the attempts that it makes, since refusals by daemons are not arrivals.

--- a/daemon/budgeter/budgeter.go
+++ b/daemon/budgeter/budgeter.go
@@ -8,6 +8,7 @@
 
 import (
 	"errors"
+	"strings"
 	"sync"
 	"time"
 )
@@ -133,18 +134,35 @@
 }
 
 // StartCall counts a call that starts on this VM and returns the kind of its first arrival. It returns ErrSpent if the call
-// is made by the run of a retry and must not be sent.
+// is made by the run of a retry and must not be sent. The ID of a call that a run makes is the ID of the run, a dot and a suffix.
 func (b *Budgeter) StartCall(id, name string) (Kind, error) {
+	end := strings.LastIndex(id, idSeparator)
+	if end < 0 {
+		return First, nil
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.update()
-	parent, known := b.runs.parent(id, t.now)
-	if !known {
-		return First, nil
-	}
+	parent := b.runs.find(id[:end], t.now)
+	return b.startNested(t, name, parent, parent == nil && b.runs.mayHaveForgotten(t.now))
+}
+
+// StartNestedCall does the same for a call whose caller says which run makes it and whether that is a retry.
+func (b *Budgeter) StartNestedCall(parentID string, ofRetry bool, name string) (Kind, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.update()
+	return b.startNested(t, name, b.runs.find(parentID, t.now), ofRetry)
+}
+
+// startNested counts a call that a run makes. The run is nil if it is not known.
+func (b *Budgeter) startNested(t tick, name string, parent *run, ofRetry bool) (Kind, error) {
 	s := b.service(t, name)
-	if parent == nil || parent.retry {
+	switch {
+	case ofRetry || parent != nil && parent.retry:
 		return RetryNested, b.payNested(t, s, parent, name)
+	case parent == nil:
+		return First, nil
 	}
 	parent.countCall(name)
 	s.nested.addCall(t.bucket, nestedShare)
--- a/daemon/budgeter/kind.go
+++ b/daemon/budgeter/kind.go
@@ -37,6 +37,9 @@
 // a caller has just made.
 const HeaderArrival = "Bluebell-Arrival"
 
+// HeaderOverBudget tells the daemon of the caller that the retry budget kept a call from the upstream.
+const HeaderOverBudget = "Bluebell-Over-Budget"
+
 const (
 	// headerSeparator separates the kind from the age of the call in milliseconds.
 	headerSeparator = ";"
--- a/daemon/budgeter/runs.go
+++ b/daemon/budgeter/runs.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strings"
 	"time"
 )
 
@@ -70,17 +69,17 @@
 	r.pruneSize = max(2*len(r.byID), minPruneSize)
 }
 
-// parent returns the run that makes a call, and false if a caller makes it. The ID of a call that a run makes is the ID of the
-// run, a dot and a suffix. The run is nil if it may have begun before this daemon was started.
-func (r *runs) parent(id string, now time.Duration) (*run, bool) {
-	end := strings.LastIndex(id, idSeparator)
-	if end < 0 {
-		return nil, false
+// find returns the run of a call, or nil if none is known that may still make calls.
+func (r *runs) find(id string, now time.Duration) *run {
+	if found := r.byID[id]; found != nil && found.until >= now {
+		return found
 	}
-	if found := r.byID[id[:end]]; found != nil && found.until >= now {
-		return found, true
-	}
-	return nil, now-r.startedAt < unknownParentTime
+	return nil
+}
+
+// mayHaveForgotten reports whether a run that is not known may have begun before this daemon was started.
+func (r *runs) mayHaveForgotten(now time.Duration) bool {
+	return now-r.startedAt < unknownParentTime
 }
 
 // learn adjusts the calls that are expected of a run on a route by those that a run has made.
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -21,8 +21,6 @@
 	headerCall = "Bluebell-Order"
 	// headerResult holds outcome, load, whether the call was sent to the upstream, and reason.
 	headerResult = "Bluebell-Result"
-	// headerOverBudget is set if the retry budget kept the call from the upstream.
-	headerOverBudget = "Bluebell-Over-Budget"
 
 	fieldSeparator = ";"
 	callFields     = 7
@@ -133,7 +131,7 @@
 		string(r.Outcome), strconv.Itoa(r.Load), strconv.FormatBool(r.Sent), r.Reason,
 	}, fieldSeparator))
 	if r.OverBudget {
-		h.Set(headerOverBudget, "true")
+		h.Set(budgeter.HeaderOverBudget, "true")
 	}
 	if r.Answer == nil {
 		w.WriteHeader(status)
@@ -156,7 +154,7 @@
 	}
 	r := Result{
 		Outcome: Outcome(fields[0]), Load: load, Sent: fields[2] == "true", Reason: fields[3],
-		OverBudget: answer.Header.Get(headerOverBudget) != "",
+		OverBudget: answer.Header.Get(budgeter.HeaderOverBudget) != "",
 	}
 	switch r.Outcome {
 	case Answered:
--- a/daemon/forwarder/budget.go
+++ b/daemon/forwarder/budget.go
@@ -8,8 +8,8 @@
 	maxBudgetTenths = 1000 // in tenths of a retry; limits the burst of retries after a long period without failures
 )
 
-// retryBudget limits the retries of one service to initialRetries plus one for every callsPerRetry calls, so that
-// retries cannot multiply the load of an overloaded service.
+// retryBudget limits how often one daemon asks further members of a service, whether these refuse the call or run it: initialRetries
+// times plus once for every callsPerRetry calls. Retries that reach upstreams are limited for all daemons together by Budget.
 type retryBudget struct {
 	mu     sync.Mutex
 	tenths int
--- a/daemon/forwarder/call.go
+++ b/daemon/forwarder/call.go
@@ -10,6 +10,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/budgeter"
 )
 
 // egressCall is a validated call on the egress side.
@@ -20,6 +21,8 @@
 	depth    int
 	key      string // canonical idempotency key; set only if the service runs each call at most once
 	deadline time.Time
+	started  time.Time
+	kind     budgeter.Kind // kind of the first arrival at an upstream
 }
 
 // admitEgress validates a call before anything is sent.
@@ -35,6 +38,7 @@
 	if errAnswer != nil {
 		return nil, errAnswer
 	}
+	c.started = now
 	if errAnswer := c.readHeader(r.Header, now); errAnswer != nil {
 		return nil, errAnswer
 	}
@@ -52,6 +56,22 @@
 	return c, checkKeyAge(id, now)
 }
 
+// startCall counts a call that a run makes, going by the headers that its upstream passes on from the call that it runs.
+func (f *Forwarder) startCall(c *egressCall, h http.Header) *answer {
+	parentID := h.Get(HeaderAttempt)
+	if parentID == "" {
+		return nil
+	}
+	parentKind, _, err := budgeter.ParseArrival(h.Get(HeaderArrival), c.started)
+	if err != nil {
+		return errorResponse(http.StatusBadRequest, OutcomeNotRun, "%v", err)
+	}
+	if c.kind, err = f.budget.StartNestedCall(parentID, parentKind.IsRetry(), c.service.Name); err != nil {
+		return errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "service %q: %v", c.service.Name, err)
+	}
+	return nil
+}
+
 // route looks up the service that the host names.
 func (f *Forwarder) route(host string, now time.Time) (*egressCall, *answer) {
 	name := serviceName(host)
--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 
+	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 )
 
@@ -34,6 +35,10 @@
 		f.writeErrorResponse(w, r, "egress", errorResponse(http.StatusBadRequest, OutcomeNotRun, "request body: %v", err))
 		return
 	}
+	if errAnswer := f.startCall(c, r.Header); errAnswer != nil {
+		f.writeErrorResponse(w, r, "egress", errAnswer)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	d := &delivery{f: f, call: c, request: r, body: reqBody, header: requestHeader(r)}
@@ -93,6 +98,7 @@
 	var (
 		skip       []string
 		mayHaveRun bool // an attempt was sent whose outcome is unknown
+		kind       = d.call.kind
 		lastAnswer *answer
 	)
 	for attempt := range maxAttempts {
@@ -113,14 +119,16 @@
 			d.f.countRetry(service, false)
 		}
 		skip = append(skip, member.Name)
-		t, report := d.sendHedged(ctx, member.Addr.String(), report, &skip)
+		t, report := d.sendHedged(ctx, member.Addr.String(), kind, report, &skip)
 		if t.final {
 			return d.passThrough(ctx, t, report, mayHaveRun)
 		}
 		t.cancelContext()
 		report(t.outcome)
 		lastAnswer = t.answer
-		mayHaveRun = mayHaveRun || !t.notRun
+		if !t.notRun {
+			mayHaveRun, kind = true, budgeter.Retry
+		}
 		if !t.retryable || ctx.Err() != nil {
 			break
 		}
@@ -175,11 +183,11 @@
 }
 
 // send sends the call to one member.
-func (d *delivery) send(ctx context.Context, addr string) attemptResult {
+func (d *delivery) send(ctx context.Context, addr string, kind budgeter.Kind) attemptResult {
 	started := time.Now()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out, detach := d.newRequest(httptrace.WithClientTrace(ctx, trace), addr, started)
+	out, detach := d.newRequest(httptrace.WithClientTrace(ctx, trace), addr, kind, started)
 	transport := d.f.peerTransport
 	if !d.body.fullyBuffered() {
 		transport = d.f.streamTransport
@@ -202,11 +210,14 @@
 	return t
 }
 
-func (d *delivery) newRequest(ctx context.Context, addr string, now time.Time) (*http.Request, func() bool) {
+func (d *delivery) newRequest(ctx context.Context, addr string, kind budgeter.Kind, now time.Time) (*http.Request, func() bool) {
 	header := d.header.Clone()
 	hideKeyHeaders(header)
 	header.Set(HeaderAttempt, uuid.NewString())
 	header.Set(HeaderDeadline, strconv.FormatInt(nextHopTimeout(d.call.deadline, now).Milliseconds(), 10))
+	if arrival := budgeter.EncodeArrival(kind, d.call.started, now); arrival != "" {
+		header.Set(HeaderArrival, arrival)
+	}
 	out := (&http.Request{
 		Method: d.request.Method,
 		URL:    targetURL(d.request.URL, addr),
@@ -239,6 +250,10 @@
 	switch {
 	case daemonOutcome == OutcomeNotRun:
 		t.outcome.Result = Refused
+		if a.header.Get(HeaderOverBudget) != "" {
+			a.header.Del(HeaderOverBudget)
+			t.outcome.Result = OverBudget
+		}
 		t.notRun = true
 		t.retryable = true
 		t.final = a.status != http.StatusServiceUnavailable || a.rest != nil
--- a/daemon/forwarder/fixture_test.go
+++ b/daemon/forwarder/fixture_test.go
@@ -156,6 +156,7 @@
 	service  string // service of the upstream
 	maxConns int    // connections that the upstream accepts
 	slotErr  error  // error that every member returns for a slot
+	budget   budget
 
 	mu              sync.Mutex
 	picks           int
@@ -169,7 +170,7 @@
 	m.claims.grants, m.claims.done = map[string]wire.Claim{}, map[string]bool{}
 	m.snapshot = snapshot(t, time.Now().Add(time.Hour))
 	m.egress = forwarder.New(forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot }),
-		forwarder.WithPick(m.pick), forwarder.WithDial(m.net.dial), forwarder.WithMetrics(m.metrics))
+		forwarder.WithPick(m.pick), forwarder.WithDial(m.net.dial), forwarder.WithMetrics(m.metrics), forwarder.WithBudget(m.budget.functions()))
 	m.serve(egressAddr, forwarder.NewCallServer(m.egress.Egress()))
 	for range members {
 		m.addMember(m.newIngress().Ingress())
@@ -214,7 +215,7 @@
 		}),
 		forwarder.WithLoad(func() int { return 3 }),
 		forwarder.WithClaim(m.claims.claim), forwarder.WithRelease(m.claims.release), forwarder.WithFinish(m.claims.finish),
-		forwarder.WithDial(m.net.dial), forwarder.WithMetrics(m.metrics))
+		forwarder.WithDial(m.net.dial), forwarder.WithMetrics(m.metrics), forwarder.WithBudget(m.budget.functions()))
 	m.t.Cleanup(f.Close)
 	return f
 }
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/connector"
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/budgeter"
 )
 
 // Values of HeaderOutcome on responses that a daemon generates itself.
@@ -51,6 +52,8 @@
 	Timeout
 	// Canceled is a call whose caller disconnected.
 	Canceled
+	// OverBudget is a retry that was refused because the retry budget is spent. The member may have room for other calls.
+	OverBudget
 	// Refused is a call that was refused before it ran, or a slot that was acquired but not used.
 	Refused
 	// Unreachable is a failure to connect.
@@ -85,6 +88,7 @@
 	claim    func(context.Context, wire.Claim) (wire.Verdict, error)
 	release  func(wire.Claim)
 	finish   func(wire.Claim)
+	budget   Budget
 	dial     dialFunc
 	dialPeer dialFunc
 	metrics  *metrics.Set
@@ -142,6 +146,22 @@
 	return func(f *Forwarder) { f.finish = finish }
 }
 
+// Budget is the retry budget of all daemons together.
+type Budget struct {
+	// StartNestedCall counts a call that a run makes and returns the kind of its first arrival, or an error if it must not be sent.
+	StartNestedCall func(parentID string, ofRetry bool, service string) (budgeter.Kind, error)
+	// Check returns an error if Begin would refuse the arrival of a call at the local upstream.
+	Check func(budgeter.Arrival) error
+	// Begin admits the arrival of a call that is about to be sent to the local upstream. The returned function must be called at
+	// the end of the run.
+	Begin func(budgeter.Arrival) (end func(), err error)
+}
+
+// WithBudget sets the retry budget. Without it, all retries are admitted.
+func WithBudget(budget Budget) Option {
+	return func(f *Forwarder) { f.budget = budget }
+}
+
 // WithDial replaces the dialers for connections to other daemons and to the upstream.
 func WithDial(dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)) Option {
 	return func(f *Forwarder) { f.dial, f.dialPeer = dial, dial }
@@ -171,8 +191,13 @@
 		claim: func(context.Context, wire.Claim) (wire.Verdict, error) {
 			return wire.Verdict{}, errors.New("no session")
 		},
-		release:  func(wire.Claim) {},
-		finish:   func(wire.Claim) {},
+		release: func(wire.Claim) {},
+		finish:  func(wire.Claim) {},
+		budget: Budget{
+			StartNestedCall: func(string, bool, string) (budgeter.Kind, error) { return budgeter.First, nil },
+			Check:           func(budgeter.Arrival) error { return nil },
+			Begin:           func(budgeter.Arrival) (func(), error) { return func() {}, nil },
+		},
 		dial:     dialTCP,
 		dialPeer: connector.New(connector.WithUserTimeout(connector.UserTimeout)).Dial,
 		metrics:  metrics.GetDefaultSet(),
--- a/daemon/forwarder/header.go
+++ b/daemon/forwarder/header.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 )
 
@@ -20,6 +21,8 @@
 	HeaderOnce           = "Bluebell-Once"
 	HeaderLoad           = "Bluebell-Load"
 	HeaderReplayed       = "Bluebell-Replayed"
+	HeaderArrival        = budgeter.HeaderArrival
+	HeaderOverBudget     = budgeter.HeaderOverBudget
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
--- a/daemon/forwarder/hedge.go
+++ b/daemon/forwarder/hedge.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"bluebellhoist/daemon/budgeter"
 )
 
 // hedgeDelay is the time without a response after which a safe call is sent to a second member as well (a hedged
@@ -22,9 +24,9 @@
 // sendHedged sends the call to a member and, if there is no response within hedgeDelay, to a second one as well. The
 // first final response wins. It returns the result of the winning attempt and the function that reports its outcome. A
 // second member that was used is appended to skip.
-func (d *delivery) sendHedged(ctx context.Context, addr string, report func(Outcome), skip *[]string) (attemptResult, func(Outcome)) {
+func (d *delivery) sendHedged(ctx context.Context, addr string, kind budgeter.Kind, report func(Outcome), skip *[]string) (attemptResult, func(Outcome)) {
 	if !d.hedgeable() {
-		return d.send(ctx, addr), report
+		return d.send(ctx, addr, kind), report
 	}
 	firstCtx, cancelFirst := context.WithCancel(ctx)
 	hedgeCtx, cancelHedge := context.WithCancel(ctx)
@@ -37,7 +39,7 @@
 		}
 		hedgeDone <- h
 	})
-	t := d.send(firstCtx, addr)
+	t := d.send(firstCtx, addr, kind)
 	t.cancel = cancelFirst
 	if timer.Stop() {
 		cancelHedge()
@@ -83,7 +85,7 @@
 		return hedge{}
 	}
 	d.f.countRetry(service, false)
-	return hedge{attemptResult: d.send(ctx, member.Addr.String()), report: report, member: member.Name}
+	return hedge{attemptResult: d.send(ctx, member.Addr.String(), budgeter.Retry), report: report, member: member.Name}
 }
 
 // discard ends a hedged request whose response is not needed.
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -15,6 +15,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 )
 
@@ -27,7 +28,9 @@
 	once     bool       // the call runs at most once and needs a claim
 	claim    wire.Claim // set only if once
 	deadline time.Time
-	outcome  Outcome // reported to the limiter at the end
+	kind     budgeter.Kind
+	started  time.Time // when a daemon got the call from its caller
+	outcome  Outcome   // reported to the limiter at the end
 }
 
 func (f *Forwarder) serveIngress(w http.ResponseWriter, r *http.Request) {
@@ -60,9 +63,33 @@
 		f.writeIngressError(w, r, errAnswer)
 		return
 	}
+	endRun, err := f.budget.Begin(c.arrival())
+	if err != nil {
+		if c.once {
+			f.release(c.claim)
+		}
+		f.writeIngressError(w, r, overBudget(err))
+		return
+	}
+	defer endRun()
 	c.forward(ctx, w)
 }
 
+// arrival describes the arrival of the call at the local upstream. Calls to one service make about the same calls.
+func (c *ingressCall) arrival() budgeter.Arrival {
+	return budgeter.Arrival{
+		ID: c.request.Header.Get(HeaderAttempt), Service: c.upstream.Service, Route: c.upstream.Service, Kind: c.kind,
+		Age: time.Since(c.started), TimeLeft: time.Until(c.deadline),
+	}
+}
+
+// overBudget returns the response to a call that the retry budget keeps from the upstream.
+func overBudget(err error) *answer {
+	a := errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "%v", err)
+	a.header.Set(HeaderOverBudget, "true")
+	return a
+}
+
 func (f *Forwarder) writeIngressError(w http.ResponseWriter, r *http.Request, a *answer) {
 	f.addLoad(a)
 	f.writeErrorResponse(w, r, "ingress", a)
@@ -87,6 +114,13 @@
 		return nil, errAnswer
 	}
 	c := &ingressCall{f: f, request: r, upstream: upstream, deadline: now.Add(remaining)}
+	var err error
+	if c.kind, c.started, err = budgeter.ParseArrival(r.Header.Get(HeaderArrival), now); err != nil {
+		return nil, errorResponse(http.StatusBadRequest, OutcomeNotRun, "%v", err)
+	}
+	if err := f.budget.Check(c.arrival()); err != nil {
+		return nil, overBudget(err)
+	}
 	c.once = r.Header.Get(HeaderOnce) != "false" || f.requiresClaim(service)
 	if !c.once {
 		return c, nil
--- a/daemon/runner/adapters.go
+++ b/daemon/runner/adapters.go
@@ -21,6 +21,7 @@
 	forwarder.Timeout:     router.Failed,
 	forwarder.Canceled:    router.Canceled,
 	forwarder.Refused:     router.Refused,
+	forwarder.OverBudget:  router.Canceled, // says nothing about the member
 	forwarder.Unreachable: router.Unreachable,
 }
 
@@ -32,6 +33,7 @@
 	forwarder.Timeout:     limiter.TimedOut,
 	forwarder.Canceled:    limiter.Ignored,
 	forwarder.Refused:     limiter.Ignored,
+	forwarder.OverBudget:  limiter.Ignored,
 	forwarder.Unreachable: limiter.Ignored,
 }
 
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -193,6 +193,12 @@
 		announcer.WithLifetime(announcementLifetime(s)),
 		announcer.WithLogger(r.log.Named("announcer")),
 	)
+	r.tallier = tallier.New(tallier.WithLogger(r.log.Named("tallier")))
+	r.budgeter = budgeter.New(
+		budgeter.WithLimits(func() budgeter.Limits { return r.settings.Load().Budget.limits() }),
+		budgeter.WithClock(newUptime()),
+		budgeter.WithCount(r.tallier.Count),
+	)
 	r.forwarder = forwarder.New(
 		forwarder.WithSnapshot(r.subscriber.Snapshot),
 		forwarder.WithPick(r.pickForServiceCall),
@@ -202,6 +208,9 @@
 		forwarder.WithClaim(r.claimer.Claim),
 		forwarder.WithRelease(r.claimer.Release),
 		forwarder.WithFinish(r.claimer.Finish),
+		forwarder.WithBudget(forwarder.Budget{
+			StartNestedCall: r.budgeter.StartNestedCall, Check: r.budgeter.Check, Begin: r.budgeter.Begin,
+		}),
 		forwarder.WithDialPeer(peers.Dial),
 	)
 	r.buildRoutedComponents(s, peers)
@@ -209,12 +218,6 @@
 
 // buildRoutedComponents creates the components that carry routed calls.
 func (r *Runner) buildRoutedComponents(s Settings, peers *connector.Connector) {
-	r.tallier = tallier.New(tallier.WithLogger(r.log.Named("tallier")))
-	r.budgeter = budgeter.New(
-		budgeter.WithLimits(func() budgeter.Limits { return r.settings.Load().Budget.limits() }),
-		budgeter.WithClock(newUptime()),
-		budgeter.WithCount(r.tallier.Count),
-	)
 	r.deliverer = deliverer.New(
 		deliverer.WithUpstream(r.announcer.Upstream),
 		deliverer.WithAcquire(r.acquireForRoutedCall),
