Show how much of the retry budget of an upstream is used

TestLimitOfAllDaemons now compares the retries with the ratio alone where the slack is not used: it passes in all cases.

--- a/daemon/budgeter/account.go
+++ b/daemon/budgeter/account.go
@@ -54,6 +54,17 @@
 	return room
 }
 
+// used returns the retries of the last window as a share of these and those that can be granted now.
+func (a *account) used(ratio, slack float64) float64 {
+	room := a.room(ratio, slack)
+	grants := prefixSums(&a.grants, a.newest)
+	made := grants.between(a.newest-buckets-a.delay, a.newest)
+	if made == 0 {
+		return 0
+	}
+	return made / (made + max(room, 0))
+}
+
 // sums holds the sums of the first buckets of an account.
 type sums struct {
 	oldest int64 // number of the first bucket
--- a/daemon/budgeter/budgeter.go
+++ b/daemon/budgeter/budgeter.go
@@ -109,6 +109,18 @@
 	return b
 }
 
+// Used returns how much of the limit for the local upstream of a service is used: 0 without retries, 1 if no further one is
+// admitted now.
+func (b *Budgeter) Used(name string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.update()
+	if b.services[name] == nil {
+		return 0
+	}
+	return b.service(t, name).upstream.used(t.limits.Ratio, b.slack(t))
+}
+
 // Check returns an error if Begin would refuse the arrival now.
 func (b *Budgeter) Check(a Arrival) error {
 	b.mu.Lock()
--- a/daemon/budgeter/mesh_test.go
+++ b/daemon/budgeter/mesh_test.go
@@ -200,9 +200,12 @@
 	}
 }
 
-// check compares the retries to each service with the limit.
+// check compares the retries to each service with the limit, without the slack if nobody may use it.
 func (m *mesh) check(t *testing.T) {
 	t.Helper()
+	if m.limits.Shares == 0 {
+		m.limits.Slack = 0
+	}
 	total := 0
 	for service, extras := range m.extras {
 		total += len(extras)
--- a/daemon/budgeter/runs_test.go
+++ b/daemon/budgeter/runs_test.go
@@ -127,6 +127,25 @@
 	}
 }
 
+// TestUsed guards against a metric that does not show how close the retries are to their limit.
+func TestUsed(t *testing.T) {
+	d := newDaemon(t)
+	d.is.Equal(d.Used("front"), 0.0)
+	d.firstRuns(200)
+	d.is.Equal(d.Used("front"), 0.0)
+	for before := 0.0; ; {
+		end, err := d.begin("retry", budgeter.Retry)
+		if err != nil {
+			break
+		}
+		end()
+		used := d.Used("front")
+		d.is.True(used > before)
+		before = used
+	}
+	d.is.True(d.Used("front") > 0.9)
+}
+
 // TestLateNested guards against calls of a retried run that arrive in another window than the one that paid for them.
 func TestLateNested(t *testing.T) {
 	d := newDaemon(t)
--- a/daemon/runner/gauges.go
+++ b/daemon/runner/gauges.go
@@ -33,6 +33,12 @@
 		}
 		return float64(alive)
 	})
+	set.NewGauge("bluebell_retry_budget_used", func() float64 {
+		if upstream, ok := r.announcer.Upstream(); ok {
+			return r.budgeter.Used(upstream.Service)
+		}
+		return 0
+	})
 	set.NewGauge("bluebell_upstream_load", func() float64 { return float64(r.limiter.Load()) })
 	set.NewGauge("bluebell_upstream_limit", func() float64 { return float64(r.limiter.Limit()) })
 	return set
