Split the large files of runner, pipeliner and ingress; read and reload settings in one place

Declarations are moved as they are. Reading a settings file and reloading it stood in both runners; loader.Read and watcher.Parsed serve both. A settings file that cannot be read is reported as cannot load JSON instead of invalid settings.

--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -13,7 +13,6 @@
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
@@ -28,7 +27,6 @@
 	"bluebellhoist/core/connector"
 	"bluebellhoist/core/exchanger"
 	"bluebellhoist/core/gossiper"
-	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/watcher"
 	"bluebellhoist/core/wire"
 )
@@ -78,13 +76,7 @@
 // effect without a restart.
 func WithFile(path string, parse func(data []byte) (Settings, error)) Option {
 	return func(r *Runner) {
-		r.watcher = watcher.New(path, watcher.WithLogger(r.log.Named("watcher")), watcher.WithChanged(func(data []byte) error {
-			s, err := parse(data)
-			if err != nil {
-				return err
-			}
-			return r.reload(s)
-		}))
+		r.watcher = watcher.New(path, watcher.WithLogger(r.log.Named("watcher")), watcher.WithChanged(watcher.Parsed(parse, r.reload)))
 	}
 }
 
@@ -248,37 +240,6 @@
 	return server
 }
 
-// stop transfers the leadership, leaves the gossip, tells the daemons to reconnect elsewhere, and waits for requests in
-// flight.
-func (r *Runner) stop(servers []*http.Server) error {
-	limit := stopLimit
-	if grace := time.Duration(r.settings.Grace); grace > 0 {
-		limit = grace - exitReserve
-	}
-	r.log.Info("stopping", "limit", limit)
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	if err := r.replicator.Transfer(ctx); err != nil {
-		r.log.Warn("leadership not transferred", "error", err)
-	}
-	if r.gossiper != nil {
-		leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveLimit)
-		defer cancelLeave()
-		if err := r.gossiper.Leave(leaveCtx); err != nil {
-			r.log.Warn("leave not confirmed", "error", err)
-		}
-	}
-	if err := r.distributor.Close(ctx); err != nil {
-		r.log.Warn("sessions not closed in time", "error", err)
-	}
-	var shutdownErr error
-	for _, server := range servers {
-		shutdownErr = errors.Join(shutdownErr, server.Shutdown(ctx))
-	}
-	r.log.Info("stopped")
-	return shutdownErr
-}
-
 // handler serves the operators' API, the daemon sessions, the connections of peers, the metrics and the gossip.
 func (r *Runner) handler() http.Handler {
 	e := echo.New()
@@ -292,25 +253,6 @@
 	return e
 }
 
-// newGauges returns the gauges of the node's state, from which an operator can notice that a controller is cut off from the
-// majority.
-func (r *Runner) newGauges() *metrics.Set {
-	set := metrics.NewSet()
-	boolValue := func(on bool) float64 {
-		if on {
-			return 1
-		}
-		return 0
-	}
-	set.NewGauge("bluebell_controller_fresh", func() float64 { return boolValue(r.fresh()) })
-	set.NewGauge("bluebell_controller_leading", func() float64 { return boolValue(r.replicator.Status().Role == "leader") })
-	set.NewGauge("bluebell_controller_voting", func() float64 { return boolValue(r.replicator.Status().Self.Voter) })
-	set.NewGauge("bluebell_log_applied_index", func() float64 { return float64(r.replicator.Status().Applied) })
-	set.NewGauge("bluebell_config_version", func() float64 { return float64(r.registrar.View().Version()) })
-	set.NewGauge("bluebell_daemons_connected", func() float64 { return float64(len(r.distributor.Daemons())) })
-	return set
-}
-
 // propose runs a command through the replicated log. Without contact to a majority it fails immediately.
 func (r *Runner) propose(ctx context.Context, cmd wire.Command) (wire.Result, error) {
 	if !r.fresh() {
@@ -347,38 +289,3 @@
 	}
 	return r.replicator.Barrier(ctx)
 }
-
-// metricsHandler serves the metrics of the process in the Prometheus text format.
-func (r *Runner) metricsHandler() http.Handler {
-	set := r.newGauges()
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		set.WritePrometheus(w)
-		metrics.WritePrometheus(w, true)
-	})
-}
-
-// fresh reports whether the node heard from a leader with a majority within maxContactAge.
-func (r *Runner) fresh() bool {
-	return time.Since(r.replicator.Status().QuorumAt) < maxContactAge
-}
-
-// status returns the state of the node for operators.
-func (r *Runner) status() presenter.Status {
-	s := r.replicator.Status()
-	status := presenter.Status{
-		Name:    r.settings.Name,
-		Role:    s.Role,
-		Leader:  s.Leader.Name,
-		Term:    s.Term,
-		Commit:  s.Commit,
-		Applied: s.Applied,
-		Version: r.registrar.View().Version(),
-		Fresh:   r.fresh(),
-		Nodes:   []presenter.Node{},
-		Daemons: r.distributor.Daemons(),
-	}
-	for _, n := range s.Nodes {
-		status.Nodes = append(status.Nodes, presenter.Node{Name: n.Name, Addr: n.Addr.String(), Voter: n.Voter})
-	}
-	return status
-}
--- a/core/loader/loader.go
+++ b/core/loader/loader.go
@@ -26,6 +26,20 @@
 	return nil
 }
 
+// Read returns what parse makes of the content of the file at path.
+func Read[T any](path string, parse func(data []byte) (T, error)) (T, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		var none T
+		return none, fmt.Errorf("%w: %v", ErrInvalid, err)
+	}
+	value, err := parse(data)
+	if err != nil {
+		return value, fmt.Errorf("%s: %w", path, err)
+	}
+	return value, nil
+}
+
 // Text decodes JSON with comments into v. It rejects unknown fields.
 func Text(text []byte, v any) error {
 	// Standardize replaces comments by spaces in place, so that error positions remain correct.
--- a/core/watcher/watcher.go
+++ b/core/watcher/watcher.go
@@ -32,6 +32,17 @@
 	return func(w *Watcher) { w.onChange = onChange }
 }
 
+// Parsed returns a function for WithChanged that passes on what parse makes of the content.
+func Parsed[T any](parse func(data []byte) (T, error), onChange func(T) error) func(data []byte) error {
+	return func(data []byte) error {
+		value, err := parse(data)
+		if err != nil {
+			return err
+		}
+		return onChange(value)
+	}
+}
+
 // WithRead sets the function that reads the file.
 func WithRead(read func(path string) ([]byte, error)) Option {
 	return func(w *Watcher) { w.read = read }
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"bluebellhoist/core/compiler"
@@ -135,17 +134,6 @@
 	return c, nil
 }
 
-// requiresClaim reports whether the snapshot of this daemon marks the service as once. The egress side may hold an
-// older snapshot.
-func (f *Forwarder) requiresClaim(name string) bool {
-	snapshot := f.snapshot()
-	if snapshot == nil {
-		return false
-	}
-	service, _ := snapshot.Service(name)
-	return service.Once
-}
-
 // bufferBody buffers the body. A call that needs a claim is buffered as a whole, because the digest covers its body.
 func (c *ingressCall) bufferBody(w http.ResponseWriter) *answer {
 	limit := maxBufferBytes
@@ -171,58 +159,6 @@
 	return errorResponse(http.StatusRequestEntityTooLarge, OutcomeNotRun, "the body is larger than %d bytes", maxOnceBodyBytes)
 }
 
-// requestDigest returns a hash of the method, path, query and body of a request.
-func requestDigest(r *http.Request, data []byte) uint64 {
-	hash := xxhash.New()
-	// Neither a method nor an escaped path contains a zero byte, so two different requests never yield the same input.
-	_, _ = hash.WriteString(r.Method + "\x00" + r.URL.EscapedPath() + "\x00" + r.URL.RawQuery + "\x00")
-	_, _ = hash.Write(data)
-	return hash.Sum64()
-}
-
-// acquireClaim requests the claim of a call that runs at most once. It returns nil if the call may be sent, and
-// otherwise the response to the caller.
-func (c *ingressCall) acquireClaim(ctx context.Context) *answer {
-	if !c.once {
-		return nil
-	}
-	// The other half of the remaining time is for the call itself, and for a refusal to reach the caller in time.
-	timeout := min(time.Until(c.deadline)/2, maxClaimWait)
-	claimCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	verdict, err := c.f.claim(claimCtx, c.claim)
-	if err != nil {
-		c.f.release(c.claim)
-		return errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "claim: %v", err)
-	}
-	switch verdict.State {
-	case wire.Granted:
-		return c.releaseIfEnded(ctx)
-	case wire.Running:
-		return newErrorAnswer(http.StatusConflict, errorBody{
-			Error: "another attempt with this key may have run the call", Outcome: OutcomeUnknown, State: wire.Running,
-		})
-	case wire.Done:
-		return replayedAnswer(verdict)
-	case wire.Mismatch:
-		return errorResponse(http.StatusUnprocessableEntity, OutcomeNotRun, "%s was used with another request", HeaderIdempotencyKey)
-	case wire.Expired:
-		return errorResponse(http.StatusConflict, OutcomeUnknown, "%s is too old", HeaderIdempotencyKey)
-	case wire.Invalid:
-		return errorResponse(http.StatusBadRequest, OutcomeNotRun, "%s is not accepted", HeaderIdempotencyKey)
-	}
-	return errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "unexpected claim state %q", verdict.State)
-}
-
-// releaseIfEnded releases a granted claim if the context of the call has ended in the meantime.
-func (c *ingressCall) releaseIfEnded(ctx context.Context) *answer {
-	if ctx.Err() == nil {
-		return nil
-	}
-	c.f.release(c.claim)
-	return errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "the call was canceled or timed out before it was sent")
-}
-
 // forward sends the call to the upstream and writes its response to w.
 func (c *ingressCall) forward(ctx context.Context, w http.ResponseWriter) {
 	if c.once {
@@ -336,18 +272,6 @@
 	}
 }
 
-// finishClaim stores the response with the claim. If the body is larger than maxStoredBytes, only the status and the
-// content type are stored.
-func (c *ingressCall) finishClaim(a *answer) {
-	claim := c.claim
-	claim.Status = a.status
-	claim.Kind = a.header.Get("Content-Type")
-	if a.rest == nil && len(a.buffered) <= maxStoredBytes {
-		claim.Complete, claim.Body = true, a.buffered
-	}
-	c.f.finish(claim)
-}
-
 // discardingWriter discards all data after the first write error, so that a long response is read to its end and its
 // claim is finished.
 type discardingWriter struct {
--- /dev/null
+++ b/daemon/pipeliner/reader.go
@@ -0,0 +1,109 @@
+package pipeliner
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"bluebellhoist/daemon/courier"
+)
+
+// errIdleTimeout reports that no call arrived or was in progress for Bounds.IdleTimeout.
+var errIdleTimeout = errors.New("idle")
+
+// readCall reads one call. If the call is invalid, it returns the response that rejects it.
+func (c *connection) readCall(bounds Bounds) (*courier.Request, *courier.Answer, error) {
+	c.limited.remaining = int64(bounds.MaxHeaderBytes) + readBufferBytes
+	_ = c.raw.SetReadDeadline(time.Now().Add(bounds.IdleTimeout))
+	if _, err := c.r.Peek(1); err != nil {
+		if !isTimeout(err) {
+			return nil, nil, err
+		}
+		if c.pending.Load() > 0 {
+			return c.readCall(bounds)
+		}
+		return nil, nil, errIdleTimeout
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(bounds.HeaderTimeout))
+	r, err := http.ReadRequest(c.r)
+	switch {
+	case err == nil:
+	case c.limited.remaining <= 0:
+		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large"), nil
+	case isTimeout(c.limited.lastErr):
+		return nil, refuse(http.StatusRequestTimeout, "the header took too long"), nil
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isConnError(c.limited.lastErr):
+		return nil, nil, err
+	default:
+		return nil, refuse(http.StatusBadRequest, "malformed request: "+err.Error()), nil
+	}
+	c.limited.remaining = bounds.MaxBodyBytes + int64(bounds.MaxHeaderBytes) + readBufferBytes
+	return c.readBody(r, bounds)
+}
+
+// readBody reads the body of a call.
+func (c *connection) readBody(r *http.Request, bounds Bounds) (*courier.Request, *courier.Answer, error) {
+	if r.ContentLength > bounds.MaxBodyBytes {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is too large"), nil
+	}
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, nil, err
+		}
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(bounds.IdleTimeout))
+	body, err := io.ReadAll(io.LimitReader(r.Body, bounds.MaxBodyBytes+1))
+	switch {
+	case err != nil && isTimeout(err):
+		return nil, refuse(http.StatusRequestTimeout, "the body took too long"), nil
+	case err != nil:
+		return nil, nil, err
+	case int64(len(body)) > bounds.MaxBodyBytes:
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is too large"), nil
+	}
+	courier.RemoveHopByHop(r.Header)
+	r.Header.Del("Expect") // handled above
+	return &courier.Request{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Close: r.Close || !r.ProtoAtLeast(1, 1),
+	}, nil, nil
+}
+
+func refuse(status int, text string) *courier.Answer {
+	return &courier.Answer{Status: status, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte(text + "\n")}
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// isConnError reports whether err is a network error of the connection.
+func isConnError(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr)
+}
+
+// limitedReader limits the bytes that are read for one call.
+type limitedReader struct {
+	r         io.Reader
+	remaining int64
+	lastErr   error // error of the last read; http.ReadRequest does not return it
+}
+
+// Read reads up to the limit and then returns io.ErrUnexpectedEOF.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	if int64(len(p)) > l.remaining {
+		p = p[:l.remaining]
+	}
+	n, err := l.r.Read(p)
+	l.remaining -= int64(n)
+	l.lastErr = err
+	return n, err
+}
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -4,18 +4,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
-	"net/http"
-	"net/netip"
 	"os/signal"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
-	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 
 	"bluebellhoist/core/connector"
@@ -80,12 +75,6 @@
 	endpoints     []endpoint
 }
 
-// endpoint is a listen address and its handler.
-type endpoint struct {
-	addr    netip.AddrPort
-	handler http.Handler
-}
-
 // Option configures a Runner.
 type Option func(*Runner)
 
@@ -97,13 +86,7 @@
 // WithFile makes the daemon reload its settings file, decoded by parse, whenever the file changes.
 func WithFile(path string, parse func(data []byte) (Settings, error)) Option {
 	return func(r *Runner) {
-		r.watcher = watcher.New(path, watcher.WithLogger(r.log.Named("watcher")), watcher.WithChanged(func(data []byte) error {
-			s, err := parse(data)
-			if err != nil {
-				return err
-			}
-			return r.reload(s)
-		}))
+		r.watcher = watcher.New(path, watcher.WithLogger(r.log.Named("watcher")), watcher.WithChanged(watcher.Parsed(parse, r.reload)))
 	}
 }
 
@@ -127,11 +110,6 @@
 	return r, nil
 }
 
-// AddHandler serves a handler on an additional address. It must be called before Run.
-func (r *Runner) AddHandler(addr netip.AddrPort, handler http.Handler) {
-	r.endpoints = append(r.endpoints, endpoint{addr, handler})
-}
-
 // reload applies changed settings. Changed addresses and names take effect only after a restart.
 func (r *Runner) reload(s Settings) error {
 	if err := s.check(); err != nil {
@@ -167,91 +145,6 @@
 	return defaultUpstreamConns
 }
 
-// buildComponents creates the components and connects them with each other.
-func (r *Runner) buildComponents(s Settings) {
-	peers := connector.New(connector.WithSource(s.Bind.Addr()), connector.WithUserTimeout(connector.UserTimeout))
-	r.subscriber = subscriber.New(
-		subscriber.WithIdentity(s.Name, s.Domain, s.Batch),
-		subscriber.WithRegion(s.Region),
-		subscriber.WithControllers(s.Controllers...),
-		subscriber.WithDiscovery(r.discoveredControllers),
-		subscriber.WithFolder(s.Data),
-		subscriber.WithDial(connector.New(connector.WithSource(s.Bind.Addr())).Dial),
-		subscriber.WithLogger(r.log.Named("subscriber")),
-	)
-	r.claimer = claimer.New(claimer.WithRequest(r.subscriber.Request))
-	var slots []limiter.Option
-	if s.Routes.IsValid() {
-		// After all daemons restart together, their calls arrive at once, and a slow start would hold them back.
-		slots = append(slots, limiter.WithoutSlowStart())
-	}
-	r.limiter = limiter.New(slots...)
-	r.router = router.New(router.WithMembers(r.gossiper.Members), router.WithDomain(s.Domain))
-	r.announcer = announcer.New(
-		announcer.WithMemberUpdate(r.updateMember),
-		announcer.WithDrain(r.drainUpstream),
-		announcer.WithLifetime(announcementLifetime(s)),
-		announcer.WithLogger(r.log.Named("announcer")),
-	)
-	r.tallier = tallier.New(tallier.WithLogger(r.log.Named("tallier")))
-	r.budgeter = budgeter.New(
-		budgeter.WithLimits(func() budgeter.Limits { return r.settings.Load().Budget.limits() }),
-		budgeter.WithClock(newUptime()),
-		budgeter.WithCount(r.tallier.Count),
-	)
-	r.forwarder = forwarder.New(
-		forwarder.WithSnapshot(r.subscriber.Snapshot),
-		forwarder.WithPick(r.pickForServiceCall),
-		forwarder.WithAcquire(r.acquireForServiceCall),
-		forwarder.WithLoad(r.limiter.Load),
-		forwarder.WithUpstream(r.announcer.Upstream),
-		forwarder.WithClaim(r.claimer.Claim),
-		forwarder.WithRelease(r.claimer.Release),
-		forwarder.WithFinish(r.claimer.Finish),
-		forwarder.WithBudget(forwarder.Budget{
-			StartNestedCall: r.budgeter.StartNestedCall, Check: r.budgeter.Check, Begin: r.budgeter.Begin,
-		}),
-		forwarder.WithDialPeer(peers.Dial),
-	)
-	r.buildRoutedComponents(s, peers)
-}
-
-// buildRoutedComponents creates the components that carry routed calls.
-func (r *Runner) buildRoutedComponents(s Settings, peers *connector.Connector) {
-	r.deliverer = deliverer.New(
-		deliverer.WithUpstream(r.announcer.Upstream),
-		deliverer.WithAcquire(r.acquireForRoutedCall),
-		deliverer.WithUnreachable(r.announcer.MarkUnreachable),
-		deliverer.WithLoad(r.limiter.Load),
-		deliverer.WithBudget(r.budgeter.Check, r.budgeter.Begin),
-		deliverer.WithHeaderNames(r.names),
-	)
-	r.dispatcher = dispatcher.New(
-		dispatcher.WithSnapshot(r.subscriber.Snapshot),
-		dispatcher.WithPick(r.pickForRoutedCall),
-		dispatcher.WithLocalDelivery(s.Name, r.deliverer.Deliver),
-		dispatcher.WithDomain(s.Domain),
-		dispatcher.WithCallerService(func() string { return r.settings.Load().Service }),
-		dispatcher.WithStartCall(r.budgeter.StartCall),
-		dispatcher.WithDial(peers.Dial, peerDialTimeout),
-		dispatcher.WithHeaderNames(r.names),
-		dispatcher.WithLogger(r.log.Named("dispatcher")),
-	)
-	r.pipeliner = pipeliner.New(
-		pipeliner.WithHandler(r.handleRouted),
-		pipeliner.WithBounds(r.callerBounds),
-		pipeliner.WithLogger(r.log.Named("pipeliner")),
-	)
-}
-
-// announcementLifetime returns how long an announcement stays valid without being repeated.
-func announcementLifetime(s Settings) time.Duration {
-	if s.ReportInterval > 0 {
-		return missedReportLimit * time.Duration(s.ReportInterval)
-	}
-	return announcer.DefaultLifetime
-}
-
 // handleRouted answers one routed call and counts it while it is in flight.
 func (r *Runner) handleRouted(ctx context.Context, request *courier.Request) *courier.Answer {
 	// Counting first ensures that awaitIdle counts this call, or that this call sees refusingCalls.
@@ -316,71 +209,3 @@
 	}
 	return err
 }
-
-// boundServer is a server and its listen address.
-type boundServer struct {
-	addr   netip.AddrPort
-	server *http.Server
-}
-
-// addServers opens the listeners for all endpoints and adds their servers to the group.
-func (r *Runner) addServers(componentsCtx context.Context, group *run.Group, s Settings) ([]*http.Server, error) {
-	peers := r.exchanger.Handler(r.peerHandler())
-	bound := []boundServer{
-		{s.Calls, forwarder.NewCallServer(r.forwarder.Egress())},
-		{s.bind(), forwarder.NewPeerServer(peers)},
-	}
-	own := []endpoint{{s.Local, r.localHandler()}, {s.Metrics, r.metricsHandler()}}
-	for _, d := range append(own, r.endpoints...) {
-		bound = append(bound, boundServer{d.addr, &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout}})
-	}
-	var servers []*http.Server
-	for _, a := range bound {
-		if !a.addr.IsValid() {
-			continue
-		}
-		listener, err := net.Listen("tcp", a.addr.String())
-		if err != nil {
-			return nil, fmt.Errorf("listen: %w", err)
-		}
-		servers = append(servers, a.server)
-		group.Add(func() error {
-			if err := a.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			<-componentsCtx.Done() // the group must not end before the planned stop is complete
-			return nil
-		}, func(error) { _ = a.server.Close() })
-	}
-	return servers, nil
-}
-
-// peerHandler serves the routed calls and the service calls that other daemons send.
-func (r *Runner) peerHandler() http.Handler {
-	ingress := r.forwarder.Ingress()
-	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if deliverer.IsRoutedCall(request) {
-			r.deliverer.ServeHTTP(w, request)
-			return
-		}
-		ingress.ServeHTTP(w, request)
-	})
-}
-
-// localHandler serves the loopback API: the announcements of the upstream, the status and the metrics.
-func (r *Runner) localHandler() http.Handler {
-	e := echo.New()
-	r.announcer.Register(e)
-	e.GET("/v1/status", r.getStatus)
-	e.GET("/metrics", echo.WrapHandler(r.metricsHandler()))
-	return e
-}
-
-// metricsHandler serves the metrics of the process in the Prometheus text format.
-func (r *Runner) metricsHandler() http.Handler {
-	set := r.newGauges()
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		set.WritePrometheus(w)
-		metrics.WritePrometheus(w, true)
-	})
-}
--- a/daemon/runner/settings.go
+++ b/daemon/runner/settings.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -64,15 +63,7 @@
 
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, fmt.Errorf("%w: %v", errSettings, err)
-	}
-	s, err := Parse(data)
-	if err != nil {
-		return s, fmt.Errorf("%s: %w", path, err)
-	}
-	return s, nil
+	return loader.Read(path, Parse)
 }
 
 // Parse reads and checks the text of a settings file.
