Count a first call only where it arrives

A call that an upstream did not get, since it could not be reached, was counted there and again at the next upstream, so one call could pay for the retries of several. The derivation of the budget (docs/design.md) needs each call in one account only. The end of a run now tells whether the call was sent, and the call is counted then, in the bucket in which it began. TestCountedCalls fails without it.

--- a/daemon/budgeter/budgeter.go
+++ b/daemon/budgeter/budgeter.go
@@ -8,7 +8,6 @@
 
 import (
 	"errors"
-	"strings"
 	"sync"
 	"time"
 )
@@ -32,6 +31,9 @@
 	ErrLate = errors.New("call of a retry is too old")
 )
 
+// firstPart is the part of a call that its first arrival adds to the account of the upstream, by kind.
+var firstPart = map[Kind]float64{First: 1, FirstNested: 1 - nestedShare}
+
 // Limits bounds the retries to a service by all daemons together.
 type Limits struct {
 	Ratio  float64       // retries per call to the service
@@ -133,8 +135,8 @@
 }
 
 // Begin admits a call that is about to be sent to the local upstream, or returns an error. The returned function must be called
-// when the upstream has answered or the call has ended otherwise.
-func (b *Budgeter) Begin(a Arrival) (end func(), err error) {
+// when the upstream has answered or the call has ended otherwise. It takes whether the call was sent.
+func (b *Budgeter) Begin(a Arrival) (end func(sent bool), err error) {
 	b.mu.Lock()
 	t := b.update()
 	if err = b.check(t, a); err == nil {
@@ -145,60 +147,6 @@
 	return end, err
 }
 
-// StartCall counts a call that starts on this VM and returns the kind of its first arrival. It returns ErrSpent if the call
-// is made by the run of a retry and must not be sent. The ID of a call that a run makes is the ID of the run, a dot and a suffix.
-func (b *Budgeter) StartCall(id, name string) (Kind, error) {
-	end := strings.LastIndex(id, idSeparator)
-	if end < 0 {
-		return First, nil
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t := b.update()
-	parent := b.runs.find(id[:end], t.now)
-	return b.startNested(t, name, parent, parent == nil && b.runs.mayHaveForgotten(t.now))
-}
-
-// StartNestedCall does the same for a call whose caller says which run makes it and whether that is a retry.
-func (b *Budgeter) StartNestedCall(parentID string, ofRetry bool, name string) (Kind, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t := b.update()
-	return b.startNested(t, name, b.runs.find(parentID, t.now), ofRetry)
-}
-
-// startNested counts a call that a run makes. The run is nil if it is not known.
-func (b *Budgeter) startNested(t tick, name string, parent *run, ofRetry bool) (Kind, error) {
-	s := b.service(t, name)
-	switch {
-	case ofRetry || parent != nil && parent.retry:
-		return RetryNested, b.payNested(t, s, parent, name)
-	case parent == nil:
-		return First, nil
-	}
-	parent.countCall(name)
-	s.nested.addCall(t.bucket, nestedShare)
-	return FirstNested, nil
-}
-
-// payNested takes a call of a retried run from what is reserved for the run, or from what is left. The run may be unknown.
-func (b *Budgeter) payNested(t tick, s *service, parent *run, name string) error {
-	others := s.reserved
-	if parent != nil {
-		parent.countCall(name)
-		if parent.reserved[name] > 0 {
-			parent.reserved[name]--
-			s.reserved--
-			others = 0
-		}
-	}
-	if s.nested.room(t.limits.Ratio, 0) < float64(others+1) {
-		return ErrSpent
-	}
-	s.nested.addGrant()
-	return nil
-}
-
 // tick is the time and the limits at which a method works.
 type tick struct {
 	now    time.Duration
@@ -263,53 +211,31 @@
 	return nil
 }
 
-// begin counts an arrival that was checked and records its run.
-func (b *Budgeter) begin(t tick, a Arrival) (end func()) {
-	s := b.service(t, a.Service)
-	started := int64((t.now - a.Age) / b.width)
-	switch a.Kind {
-	case First:
-		s.upstream.addCall(started, 1)
-	case FirstNested:
-		s.upstream.addCall(started, 1-nestedShare)
-	case Retry:
-		s.upstream.addGrant()
+// begin counts a retry that was checked and records its run.
+func (b *Budgeter) begin(t tick, a Arrival) (end func(sent bool)) {
+	if a.Kind == Retry {
+		b.service(t, a.Service).upstream.addGrant()
 	}
 	r := &run{retry: a.Kind.IsRetry(), until: t.now + max(a.TimeLeft, 0) + runGrace}
 	if r.retry {
 		r.reserved = b.reserve(t, a.Route)
 	}
 	b.runs.add(a.ID, r, t.now)
-	return func() { b.end(a.Route, r) }
+	return func(sent bool) { b.end(a, r, t.now-a.Age, sent) }
 }
 
-// end learns from a run which calls the runs of its route make, and releases what it has not used.
-func (b *Budgeter) end(route string, r *run) {
+// end counts a first arrival, learns from its run which calls the runs of its route make, and releases what the run has not used.
+// A call that was not sent may still arrive first at another upstream, which counts it then.
+func (b *Budgeter) end(a Arrival, r *run, started time.Duration, sent bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.runs.learn(route, r)
+	t := b.update()
+	if part := firstPart[a.Kind]; sent && part > 0 {
+		b.service(t, a.Service).upstream.addCall(int64(started/b.width), part)
+	}
+	b.runs.learn(a.Route, r)
 	for name, left := range r.reserved {
 		b.services[name].reserved -= left
 	}
 	r.reserved = nil
 }
-
-// canReserve reports whether there is room for the calls that a retried run on the route will probably make.
-func (b *Budgeter) canReserve(t tick, route string) bool {
-	for name, calls := range b.runs.expectedCalls(route) {
-		s := b.service(t, name)
-		if s.nested.room(t.limits.Ratio, 0) < float64(s.reserved+calls) {
-			return false
-		}
-	}
-	return true
-}
-
-// reserve reserves room for these calls.
-func (b *Budgeter) reserve(t tick, route string) map[string]int {
-	reserved := b.runs.expectedCalls(route)
-	for name, calls := range reserved {
-		b.service(t, name).reserved += calls
-	}
-	return reserved
-}
--- a/daemon/budgeter/budgeter_test.go
+++ b/daemon/budgeter/budgeter_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return false
 	}
-	end()
+	end(true)
 	return true
 }
 
@@ -107,7 +107,7 @@
 				if err != nil {
 					return false
 				}
-				defer end()
+				defer end(true)
 				if random.IntN(100) < callingPercent {
 					for range fanout {
 						callService(b, id+".1", retried)
--- a/daemon/budgeter/limit_test.go
+++ b/daemon/budgeter/limit_test.go
@@ -33,8 +33,8 @@
 	return err == nil
 }
 
-// admit asks the daemon of an upstream whether a call may arrive there.
-func (m *mesh) admit(c *meshCall, target *vm) bool {
+// admit asks the daemon of an upstream whether a call may arrive there. If it is not sent then, it does not arrive.
+func (m *mesh) admit(c *meshCall, target *vm, sent bool) bool {
 	kind := c.kind
 	if c.arrivals > 0 {
 		kind = budgeter.Retry
@@ -45,7 +45,7 @@
 	if err != nil {
 		return false
 	}
-	m.after(runTime, end)
+	m.after(runTime, func() { end(sent) })
 	return true
 }
 
@@ -60,6 +60,7 @@
 		{name: "restarts", fronts: 4, backs: 5, rate: 80, backRate: 80, calls: 1, failing: 60, maxWait: 200 * time.Millisecond, restart: 400 * time.Millisecond, limits: limits},
 		{name: "some restarts", fronts: 4, backs: 5, rate: 80, backRate: 80, calls: 1, failing: 60, maxWait: 200 * time.Millisecond, restart: 3 * time.Second, limits: limits, minRetry: 100},
 		{name: "halves that are cut off in turn", fronts: 4, backs: 4, rate: 150, backRate: 100, calls: 2, heavy: true, failing: 60, maxWait: 500 * time.Millisecond, cut: 4 * time.Second, limits: limits, minRetry: 100},
+		{name: "upstreams out of reach", fronts: 4, backs: 8, rate: 150, backRate: 100, calls: 2, unsent: 50, failing: 80, maxWait: 200 * time.Millisecond, limits: limits, minRetry: 30},
 		{name: "long queues", fronts: 1, backs: 4, rate: 150, backRate: 150, calls: 1, failing: 80, maxWait: 3 * time.Second, limits: limits, minRetry: 100},
 		{name: "pauses", fronts: 4, backs: 4, rate: 150, backRate: 100, calls: 2, failing: 70, maxWait: time.Second, pause: 7 * time.Second, limits: limits, minRetry: 100},
 		{name: "190 VMs with restarts", fronts: 76, backs: 114, rate: 600, backRate: 300, calls: 2, heavy: true, failing: 60, maxWait: time.Second, restart: 100 * time.Millisecond, limits: large},
--- a/daemon/budgeter/mesh_test.go
+++ b/daemon/budgeter/mesh_test.go
@@ -22,6 +22,7 @@
 	rate     int           // calls per second of callers to "front", or to "back" if there is no VM of "front"
 	backRate int           // calls per second of callers to "back" beside "front"
 	calls    int           // largest number of calls that one run of "front" makes
+	unsent   int           // percentage of calls that an upstream does not get since it cannot be reached
 	failing  int           // percentage of arrivals that fail, so that their calls are to be retried
 	heavy    bool          // the runs of retries make the most calls
 	maxWait  time.Duration // longest time from the decision to send a call until it arrives at the upstream
@@ -168,7 +169,8 @@
 
 // arrive lets a call arrive at the upstream of a VM, unless its daemon refuses it.
 func (m *mesh) arrive(c *meshCall, target *vm, refusals int) {
-	if !m.admit(c, target) {
+	sent := m.random.IntN(100) >= m.unsent
+	if !m.admit(c, target, sent) || !sent {
 		if refusals < maxArrivals {
 			m.send(c, refusals+1)
 		}
--- a/daemon/budgeter/runs.go
+++ b/daemon/budgeter/runs.go
@@ -85,6 +85,9 @@
 // learn adjusts the calls that are expected of a run on a route by those that a run has made.
 func (r *runs) learn(route string, ended *run) {
 	expected := r.expected[route]
+	if expected == nil && len(ended.calls) == 0 {
+		return
+	}
 	if expected == nil {
 		expected = map[string]float64{}
 		r.expected[route] = expected
--- a/daemon/budgeter/runs_test.go
+++ b/daemon/budgeter/runs_test.go
@@ -29,7 +29,7 @@
 }
 
 // begin starts a run of a call to the service "front", which takes at most a second.
-func (d *daemon) begin(id string, kind budgeter.Kind) (end func(), err error) {
+func (d *daemon) begin(id string, kind budgeter.Kind) (end func(sent bool), err error) {
 	return d.Begin(budgeter.Arrival{ID: id, Service: "front", Route: "r", Kind: kind, TimeLeft: time.Second})
 }
 
@@ -46,7 +46,7 @@
 			d.is.NoErr(err)
 			d.is.Equal(kind, budgeter.FirstNested)
 		}
-		end()
+		end(true)
 	}
 }
 
@@ -123,7 +123,7 @@
 	for range 8 { // more than can be reserved at once
 		end, err := d.begin("retry", budgeter.Retry)
 		d.is.NoErr(err)
-		end()
+		end(true)
 	}
 }
 
@@ -138,7 +138,7 @@
 		if err != nil {
 			break
 		}
-		end()
+		end(true)
 		used := d.Used("front")
 		d.is.True(used > before)
 		before = used
@@ -158,15 +158,31 @@
 	}
 }
 
-// TestOldCalls guards against retries for calls that began long before they arrived.
-func TestOldCalls(t *testing.T) {
-	d := newDaemon(t)
-	for range 100 {
-		_, err := d.Begin(budgeter.Arrival{Service: "front", Kind: budgeter.First, Age: 9 * time.Second})
-		d.is.NoErr(err)
+// TestCountedCalls guards against retries for calls that began long before they arrived, and for calls that did not arrive and
+// count again at the next upstream.
+func TestCountedCalls(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+		sent bool
+		want error
+	}{
+		{"arrived", 0, true, nil},
+		{"began long before", 9 * time.Second, true, budgeter.ErrSpent},
+		{"not sent", 0, false, budgeter.ErrSpent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDaemon(t)
+			for range 200 {
+				d.now += 100 * time.Millisecond
+				end, err := d.Begin(budgeter.Arrival{Service: "front", Kind: budgeter.First, Age: c.age})
+				d.is.NoErr(err)
+				end(c.sent)
+			}
+			_, err := d.begin("retry", budgeter.Retry)
+			d.is.True(errors.Is(err, c.want))
+		})
 	}
-	_, err := d.begin("retry", budgeter.Retry)
-	d.is.True(errors.Is(err, budgeter.ErrSpent))
 }
 
 // TestChangedWindow guards against counts that are read with the length of another window, after a change of the settings.
@@ -180,7 +196,7 @@
 			d.limits.Window = window
 			_, err = d.begin("retry", budgeter.Retry)
 			d.is.True(errors.Is(err, budgeter.ErrSpent)) // nothing is counted in the new windows
-			reserving()
+			reserving(true)
 			d.firstRuns(400)
 			_, err = d.begin("retry", budgeter.Retry)
 			d.is.NoErr(err)
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -79,7 +79,7 @@
 	onUnreachable func(wire.Upstream)
 	load          func() int
 	checkBudget   func(budgeter.Arrival) error
-	beginRun      func(budgeter.Arrival) (end func(), err error)
+	beginRun      func(budgeter.Arrival) (end func(sent bool), err error)
 	client        *courier.Client
 	names         courier.HeaderNames
 	durations     durations
@@ -110,8 +110,8 @@
 }
 
 // WithBudget sets the functions that tell whether the retry budget admits an arrival at the upstream, and that admit it and
-// return a function to be called at the end of the run.
-func WithBudget(check func(budgeter.Arrival) error, begin func(budgeter.Arrival) (end func(), err error)) Option {
+// return a function to be called at the end of the run, which takes whether the call was sent.
+func WithBudget(check func(budgeter.Arrival) error, begin func(budgeter.Arrival) (end func(sent bool), err error)) Option {
 	return func(d *Deliverer) { d.checkBudget, d.beginRun = check, begin }
 }
 
@@ -126,7 +126,7 @@
 		onUnreachable: func(wire.Upstream) {},
 		load:          func() int { return -1 },
 		checkBudget:   func(budgeter.Arrival) error { return nil },
-		beginRun:      func(budgeter.Arrival) (func(), error) { return func() {}, nil },
+		beginRun:      func(budgeter.Arrival) (func(bool), error) { return func(bool) {}, nil },
 		client:        courier.New(),
 		names:         courier.DefaultHeaderNames(),
 	}
@@ -184,9 +184,9 @@
 		release(Ignored)
 		return overBudget(err)
 	}
-	defer end()
 	began := time.Now()
 	result, slotOutcome := d.send(ctx, c, after)
+	end(result.Sent)
 	release(slotOutcome)
 	if slotOutcome == OK || slotOutcome == TimedOut {
 		d.durations.observe(c.Route, time.Since(began))
--- a/daemon/forwarder/budget_test.go
+++ b/daemon/forwarder/budget_test.go
@@ -18,7 +18,7 @@
 	spent       bool // no retry is admitted
 	spentLate   bool // no retry is admitted once it has a slot
 	arrivals    []budgeter.Arrival
-	ended       int
+	sent        int
 	nestedCalls []string // run, whether it is a retry, and service
 }
 
@@ -48,17 +48,19 @@
 	return nil
 }
 
-func (b *budget) begin(a budgeter.Arrival) (end func(), err error) {
+func (b *budget) begin(a budgeter.Arrival) (end func(sent bool), err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.spentLate && a.Kind == budgeter.Retry {
 		return nil, budgeter.ErrSpent
 	}
 	b.arrivals = append(b.arrivals, a)
-	return func() {
+	return func(sent bool) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.ended++
+		if sent {
+			b.sent++
+		}
 	}, nil
 }
 
@@ -106,7 +108,7 @@
 			m.expect(resp, err, 200, "")
 			m.is.Equal(m.budget.kinds(), c.want)
 			m.is.Equal(m.budget.nestedCalls, c.calls)
-			m.is.Equal(m.budget.ended, len(c.want))
+			m.is.Equal(m.budget.sent, len(c.want))
 		})
 	}
 	run(t, "hedge", 2, func(m *mesh) {
@@ -120,6 +122,12 @@
 		m.expect(resp, err, 200, "")
 		m.is.Equal(m.budget.kinds(), []budgeter.Kind{first, retry})
 	})
+	run(t, "upstream out of reach", 1, func(m *mesh) {
+		resp, _, err := m.call("GET", "stock", "")
+		m.expect(resp, err, 503, "not-run")
+		m.is.Equal(m.budget.kinds(), []budgeter.Kind{first})
+		m.is.Equal(m.budget.sent, 0)
+	})
 	run(t, "malformed", 1, func(m *mesh) {
 		resp, _, err := m.call("GET", "stock", "", "Bluebell-Attempt", "p", "Bluebell-Arrival", "x")
 		m.expect(resp, err, 400, "not-run")
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -153,8 +153,8 @@
 	// Check returns an error if Begin would refuse the arrival of a call at the local upstream.
 	Check func(budgeter.Arrival) error
 	// Begin admits the arrival of a call that is about to be sent to the local upstream. The returned function must be called at
-	// the end of the run.
-	Begin func(budgeter.Arrival) (end func(), err error)
+	// the end of the run and takes whether the call was sent.
+	Begin func(budgeter.Arrival) (end func(sent bool), err error)
 }
 
 // WithBudget sets the retry budget. Without it, all retries are admitted.
@@ -196,7 +196,7 @@
 		budget: Budget{
 			StartNestedCall: func(string, bool, string) (budgeter.Kind, error) { return budgeter.First, nil },
 			Check:           func(budgeter.Arrival) error { return nil },
-			Begin:           func(budgeter.Arrival) (func(), error) { return func() {}, nil },
+			Begin:           func(budgeter.Arrival) (func(bool), error) { return func(bool) {}, nil },
 		},
 		dial:     dialTCP,
 		dialPeer: connector.New(connector.WithUserTimeout(connector.UserTimeout)).Dial,
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -29,6 +29,7 @@
 	deadline time.Time
 	kind     budgeter.Kind
 	started  time.Time // when a daemon got the call from its caller
+	sent     bool      // the call may have been sent to the upstream
 	outcome  Outcome   // reported to the limiter at the end
 }
 
@@ -70,7 +71,7 @@
 		f.writeIngressError(w, r, overBudget(err))
 		return
 	}
-	defer endRun()
+	defer func() { endRun(c.sent) }()
 	c.forward(ctx, w)
 }
 
@@ -170,6 +171,7 @@
 	}
 	started := time.Now()
 	a, sent, err := c.roundTrip(ctx, started)
+	c.sent = sent
 	c.outcome.Latency = time.Since(started)
 	if err != nil {
 		c.f.writeIngressError(w, c.request, c.errorAnswer(ctx, err, sent))
