Name the arrivals that a retry causes

The kind was retry-nested in metrics and headers and nested in logs, where nested elsewhere means any call that a run makes. It is caused in all three and in bluebellctl budget, and the constants are First, Nested, Retry and Caused.

--- a/bluebellctl/budget.go
+++ b/bluebellctl/budget.go
@@ -24,17 +24,17 @@
 type arrivals struct {
 	First   int `json:"first"`   // calls that arrived for the first time
 	Retry   int `json:"retry"`   // calls that had been sent to an upstream before
-	Nested  int `json:"nested"`  // calls made by runs that were retries
+	Caused  int `json:"caused"`  // first arrivals of calls made by runs that were retries
 	Refused int `json:"refused"` // arrivals that the retry budget prevented
 }
 
 func (a arrivals) plus(b arrivals) arrivals {
-	return arrivals{a.First + b.First, a.Retry + b.Retry, a.Nested + b.Nested, a.Refused + b.Refused}
+	return arrivals{a.First + b.First, a.Retry + b.Retry, a.Caused + b.Caused, a.Refused + b.Refused}
 }
 
 // retries returns the arrivals that the retry budget limits.
 func (a arrivals) retries() int {
-	return a.Retry + a.Nested
+	return a.Retry + a.Caused
 }
 
 // retryLimits bounds the retries to a service by all daemons together in any window.
@@ -105,7 +105,7 @@
 		// A line is written at the end of the time that it covers.
 		interval := line.Time.UnixNano()/int64(arrivalsInterval) - 1
 		byService[service][interval] = byService[service][interval].plus(arrivals{
-			First: line.count("first"), Retry: line.count("retry"), Nested: line.count("nested"), Refused: line.count("refused"),
+			First: line.count("first"), Retry: line.count("retry"), Caused: line.count("caused"), Refused: line.count("refused"),
 		})
 	}
 	var worst []retryWindow
@@ -143,7 +143,7 @@
 	for _, r := range windows {
 		a := r.Arrivals
 		if _, err := fmt.Fprintf(w, "%s: %.2f of the limit from %s on: %d retries and %d calls of retried runs, allowed %.0f, %d refused; %d first arrivals\n",
-			r.Service, r.Used, r.Start.Format(timeFormat), a.Retry, a.Nested, r.Allowed, a.Refused, a.First); err != nil {
+			r.Service, r.Used, r.Start.Format(timeFormat), a.Retry, a.Caused, r.Allowed, a.Refused, a.First); err != nil {
 			return err
 		}
 	}
--- a/bluebellctl/budget_test.go
+++ b/bluebellctl/budget_test.go
@@ -16,9 +16,9 @@
 // fixed times only.
 func TestBudget(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	line := func(at time.Duration, first, retry, nested int) string {
-		return fmt.Sprintf(`{"@timestamp":%q,"@message":"arrivals","@module":"d.tallier","service":"a","first":%d,"retry":%d,"nested":%d,"refused":1}`+"\n",
-			start.Add(at).Format(time.RFC3339Nano), first, retry, nested)
+	line := func(at time.Duration, first, retry, caused int) string {
+		return fmt.Sprintf(`{"@timestamp":%q,"@message":"arrivals","@module":"d.tallier","service":"a","first":%d,"retry":%d,"caused":%d,"refused":1}`+"\n",
+			start.Add(at).Format(time.RFC3339Nano), first, retry, caused)
 	}
 	logs := []string{
 		line(5*time.Second, 100, 0, 0) + line(13*time.Second, 10, 20, 0),
--- a/daemon/budgeter/budgeter.go
+++ b/daemon/budgeter/budgeter.go
@@ -32,7 +32,7 @@
 )
 
 // firstPart is the part of a call that its first arrival adds to the account of the upstream, by kind.
-var firstPart = map[Kind]float64{First: 1, FirstNested: 1 - nestedShare}
+var firstPart = map[Kind]float64{First: 1, Nested: 1 - nestedShare}
 
 // Limits bounds the retries to a service by all daemons together.
 type Limits struct {
@@ -203,7 +203,7 @@
 		if s.upstream.room(t.limits.Ratio, b.slack(t)) < 1 || !b.canReserve(t, a.Route) {
 			return ErrSpent
 		}
-	case RetryNested:
+	case Caused:
 		if a.Age > maxNestedAge*b.width {
 			return ErrLate
 		}
--- a/daemon/budgeter/kind.go
+++ b/daemon/budgeter/kind.go
@@ -14,14 +14,14 @@
 
 // Kinds of arrivals.
 const (
-	First       Kind = iota // first arrival of a call of a caller
-	FirstNested             // first arrival of a call that a run makes
-	Retry                   // arrival of a call that was sent to an upstream before
-	RetryNested             // first arrival of a call that the run of a retry makes
+	First  Kind = iota // first arrival of a call of a caller
+	Nested             // first arrival of a call that a run makes
+	Retry              // arrival of a call that was sent to an upstream before
+	Caused             // first arrival of a call that the run of a retry makes
 )
 
 // kindNames are the names of the kinds in headers, metrics and logs.
-var kindNames = []string{First: "first", FirstNested: "nested", Retry: "retry", RetryNested: "retry-nested"}
+var kindNames = []string{First: "first", Nested: "nested", Retry: "retry", Caused: "caused"}
 
 // String returns the name of the kind.
 func (k Kind) String() string {
@@ -30,7 +30,7 @@
 
 // IsRetry reports whether the arrival counts as a retry.
 func (k Kind) IsRetry() bool {
-	return k == Retry || k == RetryNested
+	return k == Retry || k == Caused
 }
 
 // HeaderArrival tells the daemon of the upstream what an arrival is. Without it the arrival is the first one of a call that
--- a/daemon/budgeter/kind_test.go
+++ b/daemon/budgeter/kind_test.go
@@ -20,9 +20,9 @@
 	}{
 		{budgeter.First, 0},
 		{budgeter.First, time.Second},
-		{budgeter.FirstNested, 0},
+		{budgeter.Nested, 0},
 		{budgeter.Retry, 1500 * time.Millisecond},
-		{budgeter.RetryNested, time.Millisecond},
+		{budgeter.Caused, time.Millisecond},
 	} {
 		t.Run(fmt.Sprint(c.kind, c.age), func(t *testing.T) {
 			is := is.New(t)
--- a/daemon/budgeter/nested.go
+++ b/daemon/budgeter/nested.go
@@ -29,13 +29,13 @@
 	s := b.service(t, name)
 	switch {
 	case ofRetry || parent != nil && parent.retry:
-		return RetryNested, b.payNested(t, s, parent, name)
+		return Caused, b.payNested(t, s, parent, name)
 	case parent == nil:
 		return First, nil
 	}
 	parent.countCall(name)
 	s.nested.addCall(t.bucket, nestedShare)
-	return FirstNested, nil
+	return Nested, nil
 }
 
 // payNested takes a call of a retried run from what is reserved for the run, or from what is left. The run may be unknown.
--- a/daemon/budgeter/runs_test.go
+++ b/daemon/budgeter/runs_test.go
@@ -44,7 +44,7 @@
 		for range 2 {
 			kind, err := d.StartCall(id+".1", "back")
 			d.is.NoErr(err)
-			d.is.Equal(kind, budgeter.FirstNested)
+			d.is.Equal(kind, budgeter.Nested)
 		}
 		end(true)
 	}
@@ -60,14 +60,14 @@
 	}{
 		{"", 0, budgeter.First},
 		{"retry", 0, budgeter.First},
-		{"first.1", 0, budgeter.FirstNested},
-		{"retry.2", 0, budgeter.RetryNested},
-		{"nested.1", 0, budgeter.RetryNested},
-		{"both.1", 0, budgeter.RetryNested},
+		{"first.1", 0, budgeter.Nested},
+		{"retry.2", 0, budgeter.Caused},
+		{"nested.1", 0, budgeter.Caused},
+		{"both.1", 0, budgeter.Caused},
 		{"other.1", 0, budgeter.First},
-		{"retry.2", 1500 * time.Millisecond, budgeter.RetryNested},
+		{"retry.2", 1500 * time.Millisecond, budgeter.Caused},
 		{"retry.2", time.Minute, budgeter.First},
-		{"other.1", -uptime, budgeter.RetryNested},
+		{"other.1", -uptime, budgeter.Caused},
 		{"other", -uptime, budgeter.First},
 	} {
 		t.Run(fmt.Sprint(c.id, c.after), func(t *testing.T) {
@@ -76,7 +76,7 @@
 			d.firstRuns(600)
 			d.now = start + uptime
 			for id, kind := range map[string]budgeter.Kind{
-				"first": budgeter.First, "retry": budgeter.Retry, "nested": budgeter.RetryNested, "both": budgeter.Retry,
+				"first": budgeter.First, "retry": budgeter.Retry, "nested": budgeter.Caused, "both": budgeter.Retry,
 			} {
 				_, err := d.begin(id, kind)
 				d.is.NoErr(err)
@@ -109,7 +109,7 @@
 		for range 2 {
 			kind, err := d.StartCall(id+".1", "back")
 			d.is.NoErr(err)
-			d.is.Equal(kind, budgeter.RetryNested)
+			d.is.Equal(kind, budgeter.Caused)
 		}
 	}
 	_, err := d.StartCall(running[0]+".1", "back")
@@ -153,7 +153,7 @@
 		age  time.Duration
 		want error
 	}{{time.Second, nil}, {1500 * time.Millisecond, budgeter.ErrLate}} {
-		err := d.Check(budgeter.Arrival{Service: "back", Kind: budgeter.RetryNested, Age: c.age})
+		err := d.Check(budgeter.Arrival{Service: "back", Kind: budgeter.Caused, Age: c.age})
 		d.is.True(errors.Is(err, c.want))
 	}
 }
@@ -213,5 +213,5 @@
 	d.firstRuns(2000)
 	kind, err := d.StartCall("long.1", "back")
 	d.is.NoErr(err)
-	d.is.Equal(kind, budgeter.RetryNested)
+	d.is.Equal(kind, budgeter.Caused)
 }
--- a/daemon/dispatcher/dispatcher_test.go
+++ b/daemon/dispatcher/dispatcher_test.go
@@ -48,7 +48,7 @@
 		}),
 		dispatcher.WithStartCall(func(id, _ string) (budgeter.Kind, error) {
 			f.startedCalls = append(f.startedCalls, id)
-			return budgeter.FirstNested, f.startErr
+			return budgeter.Nested, f.startErr
 		}),
 		dispatcher.WithCallerService(func() string { return "own" }),
 	)
--- a/daemon/forwarder/budget_test.go
+++ b/daemon/forwarder/budget_test.go
@@ -32,11 +32,11 @@
 	b.nestedCalls = append(b.nestedCalls, fmt.Sprint(parentID, " ", ofRetry, " ", service))
 	switch {
 	case ofRetry && b.spent:
-		return budgeter.RetryNested, budgeter.ErrSpent
+		return budgeter.Caused, budgeter.ErrSpent
 	case ofRetry:
-		return budgeter.RetryNested, nil
+		return budgeter.Caused, nil
 	}
-	return budgeter.FirstNested, nil
+	return budgeter.Nested, nil
 }
 
 func (b *budget) check(a budgeter.Arrival) error {
@@ -88,7 +88,7 @@
 
 // TestArrivalKinds guards against arrivals beyond the first of a call that the retry budget does not count.
 func TestArrivalKinds(t *testing.T) {
-	first, retry, nested, retryNested := budgeter.First, budgeter.Retry, budgeter.FirstNested, budgeter.RetryNested
+	first, retry, nested, caused := budgeter.First, budgeter.Retry, budgeter.Nested, budgeter.Caused
 	for _, c := range []struct {
 		name   string
 		header []string
@@ -100,7 +100,7 @@
 		{"sent again", nil, 2, []budgeter.Kind{first, retry, retry}, nil},
 		{"of a first run", []string{"Bluebell-Attempt", "p"}, 1, []budgeter.Kind{nested, retry}, []string{"p false stock"}},
 		{"of a run that began late", []string{"Bluebell-Attempt", "p", "Bluebell-Arrival", "first;100"}, 0, []budgeter.Kind{nested}, []string{"p false stock"}},
-		{"of the run of a retry", []string{"Bluebell-Attempt", "p", "Bluebell-Arrival", "retry;100"}, 1, []budgeter.Kind{retryNested, retry}, []string{"p true stock"}},
+		{"of the run of a retry", []string{"Bluebell-Attempt", "p", "Bluebell-Arrival", "retry;100"}, 1, []budgeter.Kind{caused, retry}, []string{"p true stock"}},
 	} {
 		run(t, c.name, 3, func(m *mesh) {
 			m.upstream(breakFirst(c.broken))
--- a/daemon/tallier/tallier.go
+++ b/daemon/tallier/tallier.go
@@ -31,8 +31,8 @@
 
 // tally holds the arrivals at the upstream of one service.
 type tally struct {
-	arrived [budgeter.RetryNested + 1]int // by kind
-	refused int                           // retries and nested calls that the retry budget kept from the upstream
+	arrived [budgeter.Caused + 1]int // by kind
+	refused int                      // retries and nested calls that the retry budget kept from the upstream
 }
 
 // Option configures a Tallier.
@@ -97,7 +97,7 @@
 	t.services = map[string]*tally{}
 	t.mu.Unlock()
 	for service, s := range services {
-		t.log.Info(Message, "service", service, "first", s.arrived[budgeter.First]+s.arrived[budgeter.FirstNested],
-			"retry", s.arrived[budgeter.Retry], "nested", s.arrived[budgeter.RetryNested], "refused", s.refused)
+		t.log.Info(Message, "service", service, "first", s.arrived[budgeter.First]+s.arrived[budgeter.Nested],
+			"retry", s.arrived[budgeter.Retry], "caused", s.arrived[budgeter.Caused], "refused", s.refused)
 	}
 }
--- a/daemon/tallier/tallier_test.go
+++ b/daemon/tallier/tallier_test.go
@@ -34,15 +34,15 @@
 		ta.Count("a", budgeter.Retry, false)
 		time.Sleep(tallier.Interval + time.Millisecond)
 		synctest.Wait()
-		is.True(strings.Contains(out.String(), "arrivals: service=a first=1 retry=1 nested=0 refused=1"))
+		is.True(strings.Contains(out.String(), "arrivals: service=a first=1 retry=1 caused=0 refused=1"))
 		out.Reset()
 		time.Sleep(10 * tallier.Interval)
 		synctest.Wait()
 		is.Equal(out.String(), "") // nothing has arrived
-		ta.Count("a", budgeter.RetryNested, true)
+		ta.Count("a", budgeter.Caused, true)
 		cancel()
 		<-done
-		is.True(strings.Contains(out.String(), "arrivals: service=a first=0 retry=0 nested=1 refused=0"))
+		is.True(strings.Contains(out.String(), "arrivals: service=a first=0 retry=0 caused=1 refused=0"))
 		var text bytes.Buffer
 		set.WritePrometheus(&text)
 		is.True(strings.Contains(text.String(), `bluebell_arrivals_total{service="a",kind="retry",admitted="false"} 1`))
