Do not follow a referral to a controller that was left for lack of a majority

Callers were refused with 404 for routes that had been accepted 2.8 s before.

Trace: the leader in the daemon's failure domain was cut off from the other controllers. The daemon left it after a second of heartbeats without majority, connected to another one, was referred back to the first one 3 ms later and stayed a second more. The rule against that (localTried) did not hold, since the settings name no failure domain of the controllers and the list of the round was made before gossip told it.

A daemon now remembers for 10 s which controllers it left for lack of a majority, prefers others and follows no referral to them. TestReferralToStale failed before.

--- a/daemon/subscriber/controller_test.go
+++ b/daemon/subscriber/controller_test.go
@@ -90,8 +90,13 @@
 	}
 }
 
-// sendHeartbeats sends heartbeats until the session ends.
+// sendHeartbeats sends the same heartbeat until the session ends.
 func (p *fakeSession) sendHeartbeats(heartbeat wire.Heartbeat) {
+	p.sendEachHeartbeat(func() wire.Heartbeat { return heartbeat })
+}
+
+// sendEachHeartbeat sends what next returns until the session ends.
+func (p *fakeSession) sendEachHeartbeat(next func() wire.Heartbeat) {
 	ended := make(chan struct{})
 	go func() {
 		p.drain()
@@ -100,6 +105,7 @@
 	for {
 		select {
 		case <-time.After(framer.HeartbeatInterval):
+			heartbeat := next()
 			p.send(wire.Frame{Heartbeat: &heartbeat})
 		case <-ended:
 			return
--- a/daemon/subscriber/selection.go
+++ b/daemon/subscriber/selection.go
@@ -14,6 +14,10 @@
 // the daemon does not fail back to that controller.
 const failbackDelay = 10 * time.Second
 
+// noMajorityDelay is the time after a session that ended because its controller lacked a majority during which the daemon
+// prefers other controllers.
+const noMajorityDelay = 10 * time.Second
+
 // errFailback ends a session because a controller of the daemon's own failure domain can be used again.
 var errFailback = errors.New("a controller in the same failure domain is available")
 
@@ -85,6 +89,30 @@
 	}
 }
 
+// lackedMajority reports whether the daemon left the controller lately because it lacked a majority.
+func (s *Subscriber) lackedMajority(c Controller, now time.Time) bool {
+	left, ok := s.leftWithoutMajority[c.Addr]
+	return ok && now.Sub(left) < noMajorityDelay
+}
+
+// recordNoMajority records that the daemon leaves a controller because it lacks a majority. It also removes entries older than
+// noMajorityDelay, so the map stays small.
+func (s *Subscriber) recordNoMajority(c Controller, now time.Time) {
+	for addr, left := range s.leftWithoutMajority {
+		if now.Sub(left) >= noMajorityDelay {
+			delete(s.leftWithoutMajority, addr)
+		}
+	}
+	s.leftWithoutMajority[c.Addr] = now
+}
+
+// takeNext removes the first controller from the list that did not lack a majority lately, or else the first one.
+func (s *Subscriber) takeNext(list []Controller, now time.Time) (next Controller, rest []Controller) {
+	i := max(slices.IndexFunc(list, func(c Controller) bool { return !s.lackedMajority(c, now) }), 0)
+	next = list[i]
+	return next, slices.Delete(list, i, i+1)
+}
+
 // newReferralError returns the error that ends a session after a referral.
 func newReferralError(r wire.Refer) error {
 	return &referralError{Controller{Addr: netip.AddrPortFrom(r.Addr.Addr().Unmap(), r.Addr.Port()), Domain: r.Domain}}
--- a/daemon/subscriber/selection_test.go
+++ b/daemon/subscriber/selection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -99,3 +100,44 @@
 		})
 	}
 }
+
+// TestReferralToStale guards against a daemon that leaves a controller without a majority and is referred back to it, while
+// another controller has a newer version.
+func TestReferralToStale(t *testing.T) {
+	const cutOff = 15 * time.Second // when the local controller loses its majority
+	for seed := range uint64(8) {   // both orders of the controllers
+		runInFakeTime(t, func(ctx context.Context, t *testing.T) {
+			started := time.Now()
+			local := func(p *fakeSession) {
+				frame, _ := p.receive()
+				if frame.Hello != nil && frame.Hello.Held < 5 {
+					p.send(fullFrame(5, "a"))
+				}
+				p.sendEachHeartbeat(func() wire.Heartbeat {
+					return wire.Heartbeat{Version: 5, Fresh: time.Since(started) < cutOff}
+				})
+			}
+			remote := func(p *fakeSession) {
+				frame, ok := p.receive()
+				if !ok || frame.Hello == nil || frame.Hello.Stay {
+					p.send(fullFrame(6, "a"))
+					p.drain()
+					return
+				}
+				p.send(wire.Frame{Refer: &wire.Refer{Addr: localController.Addr, Domain: localController.Domain}})
+				p.drain()
+			}
+			// The settings contain no failure domains.
+			s := startSubscriber(ctx, t, map[netip.AddrPort]*fakeController{
+				localController.Addr: newFakeController(ctx, t, local), remoteController.Addr: newFakeController(ctx, t, remote),
+			}, subscriber.WithControllers(subscriber.Controller{Addr: localController.Addr}, subscriber.Controller{Addr: remoteController.Addr}),
+				subscriber.WithRandom(rand.New(rand.NewPCG(seed, 0))))
+			time.Sleep(cutOff - time.Second)
+			synctest.Wait()
+			assertVersion(t, s, 5)
+			time.Sleep(time.Second + subscriber.StaleLimit + 1500*time.Millisecond) // a heartbeat, and the pauses between two sessions
+			synctest.Wait()
+			assertVersion(t, s, 6)
+		})
+	}
+}
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -62,7 +62,9 @@
 	random         *rand.Rand
 	log            hclog.Logger
 	lastSessionEnd map[netip.AddrPort]time.Time // last session end by controller of the own failure domain; used by Run only
-	dial           func(context.Context, netip.AddrPort) (net.Conn, error)
+	// leftWithoutMajority holds when the daemon left a controller because it lacked a majority; used by Run only.
+	leftWithoutMajority map[netip.AddrPort]time.Time
+	dial                func(context.Context, netip.AddrPort) (net.Conn, error)
 
 	snapshot atomic.Pointer[compiler.Snapshot]
 	session  atomic.Pointer[session]
@@ -118,6 +120,8 @@
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:            hclog.NewNullLogger(),
 		lastSessionEnd: map[netip.AddrPort]time.Time{},
+
+		leftWithoutMajority: map[netip.AddrPort]time.Time{},
 		dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", addr.String())
 		},
@@ -159,7 +163,12 @@
 func (s *Subscriber) tryControllers(ctx context.Context) (bool, error) {
 	anyEstablished := false
 	localTried := false // whether a controller of the own failure domain was selected in this round
-	for _, c := range s.rankedControllers() {
+	var c Controller
+	for untried := s.rankedControllers(); len(untried) > 0; {
+		c, untried = s.takeNext(untried, time.Now())
+		if anyEstablished && s.lackedMajority(c, time.Now()) {
+			return true, nil // the next round starts with those that were left earlier in this one
+		}
 		established, err := s.runSession(ctx, c, localTried)
 		anyEstablished = anyEstablished || established
 		var referred *referralError
@@ -179,9 +188,12 @@
 	return anyEstablished, nil
 }
 
-// followReferral runs a session with the controller that a referral names. If no session is established, it runs one
-// with the controller that sent the referral.
+// followReferral runs a session with the controller that a referral names. If no session is established, or that controller
+// lacked a majority lately, it runs one with the controller that sent the referral.
 func (s *Subscriber) followReferral(ctx context.Context, from, to Controller) (bool, error) {
+	if s.lackedMajority(to, time.Now()) {
+		return s.runSession(ctx, from, true)
+	}
 	established, err := s.runSession(ctx, to, true)
 	if established || ctx.Err() != nil {
 		return established, err
@@ -193,6 +205,9 @@
 func (s *Subscriber) runSession(ctx context.Context, c Controller, noReferral bool) (bool, error) {
 	established, err := s.serveSession(ctx, c, noReferral)
 	s.recordSessionEnd(c, time.Now())
+	if errors.Is(err, errNoMajority) {
+		s.recordNoMajority(c, time.Now())
+	}
 	if ctx.Err() == nil {
 		s.log.Info("session ended", "controller", c.Addr, "error", err)
 	}
