--- a/daemon/subscriber/selection.go
+++ b/daemon/subscriber/selection.go
@@ -72,7 +72,7 @@
 		return false
 	}
 	return slices.ContainsFunc(s.allControllers(), func(c Controller) bool {
-		return c.Addr != current.Addr && s.sameDomain(c) && now.Sub(s.lastSessionEnd[c.Addr]) >= failbackDelay
+		return c.Addr != current.Addr && s.sameDomain(c) && now.Sub(s.lastSessionEnd[c.Addr]) >= failbackDelay && !s.lackedMajority(c, now)
 	})
 }
 
--- a/daemon/subscriber/selection_test.go
+++ b/daemon/subscriber/selection_test.go
@@ -117,27 +117,39 @@
 					return wire.Heartbeat{Version: 5, Fresh: time.Since(started) < cutOff}
 				})
 			}
+			var remoteSessions atomic.Int32
 			remote := func(p *fakeSession) {
+				remoteSessions.Add(1)
 				frame, ok := p.receive()
 				if !ok || frame.Hello == nil || frame.Hello.Stay {
-					p.send(fullFrame(6, "a"))
-					p.drain()
+					if frame.Hello != nil && frame.Hello.Held < 6 {
+						p.send(fullFrame(6, "a"))
+					}
+					p.sendHeartbeats(wire.Heartbeat{Version: 6, Fresh: true})
 					return
 				}
 				p.send(wire.Frame{Refer: &wire.Refer{Addr: localController.Addr, Domain: localController.Domain}})
 				p.drain()
 			}
-			// The settings contain no failure domains.
+			// The settings contain no failure domains. They are discovered after the first session has begun.
 			s := startSubscriber(ctx, t, map[netip.AddrPort]*fakeController{
 				localController.Addr: newFakeController(ctx, t, local), remoteController.Addr: newFakeController(ctx, t, remote),
 			}, subscriber.WithControllers(subscriber.Controller{Addr: localController.Addr}, subscriber.Controller{Addr: remoteController.Addr}),
-				subscriber.WithRandom(rand.New(rand.NewPCG(seed, 0))))
+				subscriber.WithRandom(rand.New(rand.NewPCG(seed, 0))),
+				subscriber.WithDiscovery(func() []subscriber.Controller {
+					if time.Since(started) < time.Second {
+						return nil
+					}
+					return []subscriber.Controller{localController, remoteController}
+				}))
 			time.Sleep(cutOff - time.Second)
 			synctest.Wait()
 			assertVersion(t, s, 5)
 			time.Sleep(time.Second + subscriber.StaleLimit + 1500*time.Millisecond) // a heartbeat, and the pauses between two sessions
 			synctest.Wait()
 			assertVersion(t, s, 6)
+			time.Sleep(5 * time.Second)
+			is.New(t).True(remoteSessions.Load() <= 4) // it stays there
 		})
 	}
 }
