Read the whole body of a call from another daemon

Cause: the reader of calls between daemons stopped at 64 MiB without an error. Once the configured maximum body was raised above that, an upstream ran a request whose end was missing.

Change: there is no such limit any more, since the daemon of the caller applies the one of the configuration in force.

--- a/bluebellctl/client.go
+++ b/bluebellctl/client.go
@@ -61,7 +61,7 @@
 	}
 	defer resp.Body.Close()
 	r.sent, r.status = true, resp.StatusCode
-	r.body, r.err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	r.body, r.err = io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxResponseBytes))
 	return r
 }
 
--- a/core/exchanger/exchanger.go
+++ b/core/exchanger/exchanger.go
@@ -179,10 +179,13 @@
 
 func decodeMessage(body io.Reader) (wire.Gossip, error) {
 	var msg wire.Gossip
-	compressed, err := io.ReadAll(io.LimitReader(body, encoder.MaxMessage))
+	compressed, err := io.ReadAll(io.LimitReader(body, encoder.MaxMessage+1))
 	if err != nil {
 		return msg, fmt.Errorf("%w: %v", ErrTransport, err)
 	}
+	if len(compressed) > encoder.MaxMessage {
+		return msg, fmt.Errorf("%w: message of more than %d bytes", ErrTransport, encoder.MaxMessage)
+	}
 	exchangesIn.Add(len(compressed))
 	data, err := encoder.Decompress(compressed)
 	if err != nil {
--- a/daemon/deliverer/deliverer_test.go
+++ b/daemon/deliverer/deliverer_test.go
@@ -1,8 +1,10 @@
 package deliverer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -215,6 +217,26 @@
 	is.Equal(answer.Status, http.StatusBadRequest)
 }
 
+// TestLargeBody guards against an upstream that runs a call from another daemon without the end of its body.
+func TestLargeBody(t *testing.T) {
+	is := is.New(t)
+	var received int64
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		received, _ = io.Copy(io.Discard, r.Body)
+		reply(200, "Proof", "p")(w, r)
+	})
+	c := newCall(false)
+	c.Request.Method = http.MethodPost
+	packed := c.Pack()
+	body := make([]byte, 64<<20+1) // more than the default limit of a body, which the configuration may raise
+	request := httptest.NewRequest(packed.Method, packed.Target, bytes.NewReader(body))
+	request.Header = packed.Header
+	recorder := httptest.NewRecorder()
+	f.ServeHTTP(recorder, request)
+	is.Equal(recorder.Code, http.StatusOK)
+	is.Equal(received, int64(len(body)))
+}
+
 // TestLatest guards against calls that wait for a slot although their answer would probably miss the target.
 func TestLatest(t *testing.T) {
 	is := is.New(t)
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -27,9 +27,6 @@
 	resultFields   = 4
 )
 
-// maxBodyBytes bounds the body of a call between daemons.
-const maxBodyBytes = 64 << 20
-
 // errPeerHeader is returned for a call from another daemon with invalid headers.
 var errPeerHeader = errors.New("invalid header from another daemon")
 
@@ -94,7 +91,8 @@
 	if c.Kind, c.Started, err = budgeter.ParseArrival(r.Header.Get(budgeter.HeaderArrival), now); err != nil {
 		return Call{}, fmt.Errorf("%w: %w", errPeerHeader, err)
 	}
-	if c.Request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxBodyBytes)); err != nil {
+	// The daemon of the caller has applied the limit of the configuration in force.
+	if c.Request.Body, err = io.ReadAll(r.Body); err != nil {
 		return Call{}, fmt.Errorf("body: %w", err)
 	}
 	courier.RemoveHopByHop(r.Header)
