Judge a call by the configuration in force when it arrives

Cause: the reader of a kept connection took the bounds before it waited for the next call, so a call that arrived after a change was refused by the old ones (413, 431). The idle time was fixed in the same way, and counted from the previous call instead of its response, so a connection could be closed that its caller may still use. Service calls kept the service, the claim rule and the upstream that were read before the wait for a body, a slot or a claim.

Change: the pipeliner reads the bounds when the first byte of a call is there, again for its body, and again when the idle time seems to have passed. The idle time begins with the last response. The forwarder admits a call again after its body was read, and checks upstream and claim rule again before it sends. The input that follows a refused call is read for a moment, so that the refusal is not lost in a reset.

--- a/daemon/forwarder/call.go
+++ b/daemon/forwarder/call.go
@@ -25,7 +25,7 @@
 	kind     budgeter.Kind // kind of the first arrival at an upstream
 }
 
-// admitEgress validates a call before anything is sent.
+// admitEgress validates a call that arrived at the given time, before anything is sent.
 func (f *Forwarder) admitEgress(r *http.Request, now time.Time) (*egressCall, *answer) {
 	if !r.ProtoAtLeast(1, 1) {
 		// HTTP/1.0 has no chunked encoding, so the caller could not detect that a long response was truncated.
@@ -34,7 +34,7 @@
 	if r.Method == http.MethodConnect {
 		return nil, errorResponse(http.StatusMethodNotAllowed, OutcomeNotRun, "method CONNECT is not supported")
 	}
-	c, errAnswer := f.route(r.Host, now)
+	c, errAnswer := f.route(r.Host)
 	if errAnswer != nil {
 		return nil, errAnswer
 	}
@@ -73,14 +73,14 @@
 }
 
 // route looks up the service that the host names.
-func (f *Forwarder) route(host string, now time.Time) (*egressCall, *answer) {
+func (f *Forwarder) route(host string) (*egressCall, *answer) {
 	name := serviceName(host)
 	snapshot := f.snapshot()
 	if snapshot == nil {
 		return nil, errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "no configuration yet")
 	}
 	batch := snapshot.Batch().Name
-	if !snapshot.InForce(now) {
+	if !snapshot.InForce(time.Now()) {
 		return nil, errorResponse(http.StatusGone, OutcomeNotRun, "batch %q has expired", batch)
 	}
 	service, ok := snapshot.Service(name)
--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -35,6 +35,13 @@
 		f.writeErrorResponse(w, r, "egress", errorResponse(http.StatusBadRequest, OutcomeNotRun, "request body: %v", err))
 		return
 	}
+	// The configuration may have changed while the body arrived.
+	current, errAnswer := f.admitEgress(r, started)
+	if errAnswer != nil {
+		f.writeErrorResponse(w, r, "egress", errAnswer)
+		return
+	}
+	c = current
 	if errAnswer := f.startCall(c, r.Header); errAnswer != nil {
 		f.writeErrorResponse(w, r, "egress", errAnswer)
 		return
--- a/daemon/forwarder/fixture_test.go
+++ b/daemon/forwarder/fixture_test.go
@@ -156,6 +156,7 @@
 	service  string // service of the upstream
 	maxConns int    // connections that the upstream accepts
 	slotErr  error  // error that every member returns for a slot
+	onSlot   func() // called when a member waits for a slot; optional
 	budget   budget
 
 	mu              sync.Mutex
@@ -210,7 +211,11 @@
 		forwarder.WithUpstream(func() (wire.Upstream, bool) {
 			return wire.Upstream{Address: upstreamAddr, Service: m.service, Conns: m.maxConns}, true
 		}),
+		forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot }),
 		forwarder.WithAcquire(func(context.Context, string) (func(forwarder.Outcome), error) {
+			if m.onSlot != nil {
+				m.onSlot()
+			}
 			return func(o forwarder.Outcome) { m.record(&m.limiterOutcomes, o) }, m.slotErr
 		}),
 		forwarder.WithLoad(func() int { return 3 }),
@@ -289,11 +294,14 @@
 }
 
 func snapshot(t testing.TB, until time.Time) *compiler.Snapshot {
-	batch := wire.Batch{Name: "counter", Version: 1, Until: until.UnixMilli(), Services: []wire.Service{
+	return newSnapshot(t, wire.Batch{Name: "counter", Version: 1, Until: until.UnixMilli(), Services: []wire.Service{
 		{Name: "archive", Class: compiler.Bulk, Limit: 10 * time.Second},
 		{Name: "payout", Class: compiler.Urgent, Limit: 5 * time.Second, Once: true},
 		{Name: "stock", Class: compiler.Normal, Limit: 10 * time.Second},
-	}}
+	}})
+}
+
+func newSnapshot(t testing.TB, batch wire.Batch) *compiler.Snapshot {
 	sum, err := compiler.Checksum(batch)
 	is.New(t).NoErr(err)
 	s, err := compiler.New(batch, sum)
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -63,6 +63,10 @@
 		f.writeIngressError(w, r, errAnswer)
 		return
 	}
+	if errAnswer := c.refresh(); errAnswer != nil {
+		f.writeIngressError(w, r, errAnswer)
+		return
+	}
 	endRun, err := f.budget.Begin(c.arrival())
 	if err != nil {
 		if c.once {
@@ -135,6 +139,22 @@
 	return c, nil
 }
 
+// refresh applies what has changed while the call waited, or refuses the call and releases its claim.
+func (c *ingressCall) refresh() *answer {
+	upstream, ok := c.f.upstream()
+	switch {
+	case !ok || upstream.Service != c.upstream.Service:
+		if c.once {
+			c.f.release(c.claim)
+		}
+		return errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "the upstream of service %q has left", c.upstream.Service)
+	case !c.once && c.f.requiresClaim(c.upstream.Service):
+		return errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "calls to service %q need a claim now", c.upstream.Service)
+	}
+	c.upstream = upstream
+	return nil
+}
+
 // bufferBody buffers the body. A call that needs a claim is buffered as a whole, because the digest covers its body.
 func (c *ingressCall) bufferBody(w http.ResponseWriter) *answer {
 	limit := maxBufferBytes
--- a/daemon/pipeliner/connection.go
+++ b/daemon/pipeliner/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -27,8 +28,12 @@
 	r       *bufio.Reader
 	queue   chan *pipelinedCall
 
-	pending atomic.Int32 // calls whose response has not been written
-	closing atomic.Bool  // the last response is being written; calls read after that are discarded
+	pending    atomic.Int32              // calls whose response has not been written
+	lastAnswer atomic.Pointer[time.Time] // when the last response was written
+	closing    atomic.Bool               // the last response is being written; calls read after that are discarded
+
+	mu        sync.Mutex
+	lingering bool // the write side is closed; the read deadline is final
 }
 
 func newConnection(s *Server, raw net.Conn) *connection {
@@ -53,6 +58,7 @@
 	close(c.queue)
 	<-writerDone
 	calls.Wait()
+	c.discardInput()
 	_ = c.raw.Close()
 }
 
@@ -60,8 +66,7 @@
 // since the connection is lost.
 func (c *connection) readCalls(ctx context.Context, calls *sync.WaitGroup) (lost bool) {
 	for {
-		bounds := c.server.currentBounds()
-		request, rejection, err := c.readCall(bounds)
+		request, rejection, err := c.readCall()
 		if err != nil {
 			return !errors.Is(err, errIdleTimeout)
 		}
@@ -98,7 +103,7 @@
 
 // waitForClose waits until the caller closes the connection after its last call, and reports whether the caller did.
 func (c *connection) waitForClose() bool {
-	_ = c.raw.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
 	_, err := c.r.ReadByte()
 	return err != nil && !errors.Is(err, net.ErrClosed)
 }
@@ -112,7 +117,7 @@
 		c.closing.Store(last)
 		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 		_, err := c.raw.Write(a.Encode(call.method))
-		c.pending.Add(-1)
+		c.countAnswered()
 		if err != nil {
 			cancel()
 		}
@@ -128,6 +133,13 @@
 	}
 }
 
+// countAnswered records that a response was written.
+func (c *connection) countAnswered() {
+	now := time.Now()
+	c.lastAnswer.Store(&now)
+	c.pending.Add(-1)
+}
+
 // closeGracefully closes the write side and lets the reader consume the remaining input, so that the last response
 // arrives.
 func (c *connection) closeGracefully() {
@@ -137,5 +149,27 @@
 		return
 	}
 	_ = tcp.CloseWrite()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingering = true
 	_ = tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
+
+// setReadDeadline sets the read deadline unless the connection is lingering.
+func (c *connection) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lingering {
+		_ = c.raw.SetReadDeadline(t)
+	}
+}
+
+// discardInput reads what the caller still sends on a lingering connection.
+func (c *connection) discardInput() {
+	c.mu.Lock()
+	lingering := c.lingering
+	c.mu.Unlock()
+	if lingering {
+		_, _ = io.Copy(io.Discard, c.raw) // ends at the read deadline at the latest
+	}
+}
--- a/daemon/pipeliner/reader.go
+++ b/daemon/pipeliner/reader.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -15,19 +16,13 @@
 var errIdleTimeout = errors.New("idle")
 
 // readCall reads one call. If the call is invalid, it returns the response that rejects it.
-func (c *connection) readCall(bounds Bounds) (*courier.Request, *courier.Answer, error) {
-	c.limited.remaining = int64(bounds.MaxHeaderBytes) + readBufferBytes
-	_ = c.raw.SetReadDeadline(time.Now().Add(bounds.IdleTimeout))
-	if _, err := c.r.Peek(1); err != nil {
-		if !isTimeout(err) {
-			return nil, nil, err
-		}
-		if c.pending.Load() > 0 {
-			return c.readCall(bounds)
-		}
-		return nil, nil, errIdleTimeout
+func (c *connection) readCall() (*courier.Request, *courier.Answer, error) {
+	if err := c.awaitCall(); err != nil {
+		return nil, nil, err
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(bounds.HeaderTimeout))
+	bounds := c.server.currentBounds()
+	c.limited.remaining = int64(bounds.MaxHeaderBytes)
+	c.setReadDeadline(time.Now().Add(bounds.HeaderTimeout))
 	r, err := http.ReadRequest(c.r)
 	switch {
 	case err == nil:
@@ -40,12 +35,41 @@
 	default:
 		return nil, refuse(http.StatusBadRequest, "malformed request: "+err.Error()), nil
 	}
-	c.limited.remaining = bounds.MaxBodyBytes + int64(bounds.MaxHeaderBytes) + readBufferBytes
-	return c.readBody(r, bounds)
+	return c.readBody(r)
+}
+
+// awaitCall waits for the first byte of a call. It returns errIdleTimeout if none arrives in the idle time in force.
+func (c *connection) awaitCall() error {
+	c.limited.remaining = math.MaxInt64 // a single read of at most readBufferBytes
+	began := time.Now()
+	for {
+		c.setReadDeadline(time.Now().Add(c.idleTimeLeft(began)))
+		_, err := c.r.Peek(1)
+		if err == nil || !isTimeout(err) {
+			return err
+		}
+		if c.closing.Load() || c.idleTimeLeft(began) <= 0 {
+			return errIdleTimeout
+		}
+	}
+}
+
+// idleTimeLeft returns the time until a connection that has been waiting for a call since began is closed.
+func (c *connection) idleTimeLeft(began time.Time) time.Duration {
+	idleTimeout := c.server.currentBounds().IdleTimeout
+	if c.pending.Load() > 0 {
+		return idleTimeout
+	}
+	if answered := c.lastAnswer.Load(); answered != nil && answered.After(began) {
+		began = *answered
+	}
+	return idleTimeout - time.Since(began)
 }
 
 // readBody reads the body of a call.
-func (c *connection) readBody(r *http.Request, bounds Bounds) (*courier.Request, *courier.Answer, error) {
+func (c *connection) readBody(r *http.Request) (*courier.Request, *courier.Answer, error) {
+	bounds := c.server.currentBounds()
+	c.limited.remaining = bounds.MaxBodyBytes + int64(bounds.MaxHeaderBytes) + readBufferBytes
 	if r.ContentLength > bounds.MaxBodyBytes {
 		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is too large"), nil
 	}
@@ -54,7 +78,7 @@
 			return nil, nil, err
 		}
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(bounds.IdleTimeout))
+	c.setReadDeadline(time.Now().Add(bounds.IdleTimeout))
 	body, err := io.ReadAll(io.LimitReader(r.Body, bounds.MaxBodyBytes+1))
 	switch {
 	case err != nil && isTimeout(err):
