Notice a caller that leaves behind a full queue of calls

Change: while it waits, it asks the socket whether the other side has closed, which also shows behind unread data.

Result: TestGoneBehindMany did not end before.

--- a/daemon/pipeliner/connection.go
+++ b/daemon/pipeliner/connection.go
@@ -92,12 +92,27 @@
 	}
 }
 
+// enqueue waits until the queue has room for a call. It returns false if the connection is lost before that.
 func (c *connection) enqueue(ctx context.Context, call *pipelinedCall) bool {
 	select {
 	case c.queue <- call:
 		return true
-	case <-ctx.Done():
-		return false
+	default:
+	}
+	// Nothing is read while the queue is full, so a close of the caller would go unnoticed.
+	ticker := time.NewTicker(closeCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case c.queue <- call:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+			if isClosedByPeer(c.raw) {
+				return false
+			}
+		}
 	}
 }
 
--- a/daemon/pipeliner/pipeliner.go
+++ b/daemon/pipeliner/pipeliner.go
@@ -19,6 +19,8 @@
 const (
 	// maxPipelined is how many calls of one connection may run or wait for their response to be written.
 	maxPipelined = 16
+	// closeCheckInterval is the time between two checks whether a caller with a full queue of calls has left.
+	closeCheckInterval = 50 * time.Millisecond
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 4 << 10
 	// writeTimeout is how long writing a response may take. It closes connections whose caller does not read.
--- a/daemon/pipeliner/pipeliner_test.go
+++ b/daemon/pipeliner/pipeliner_test.go
@@ -104,6 +104,28 @@
 	<-ended
 }
 
+// TestGoneBehindMany guards against calls that continue after their caller has left because the reader waits for room in
+// the queue of pipelined calls.
+func TestGoneBehindMany(t *testing.T) {
+	const calls = 20 // more than may be in flight on one connection
+	started, ended := make(chan struct{}, calls), make(chan struct{}, calls)
+	_, dial := serve(t, func(ctx context.Context, _ *courier.Request) *courier.Answer {
+		started <- struct{}{}
+		<-ctx.Done()
+		ended <- struct{}{}
+		return ok("")
+	})
+	c := dial()
+	c.send(strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", calls))
+	for range 16 {
+		<-started
+	}
+	_ = c.Close()
+	for range 16 {
+		<-ended
+	}
+}
+
 // TestLast guards against running calls that arrive after a response with "Connection: close": the caller sends them
 // again.
 func TestLast(t *testing.T) {
