Apply the idle time to each pause of a body

Cause: the read deadline was set once for the whole body. A body that kept arriving was refused with 408 after the idle time, although that is the longest pause between two reads.

Change: the deadline is set before each read from the connection.

Result: TestFlowingBody failed before.

--- a/daemon/pipeliner/limits_test.go
+++ b/daemon/pipeliner/limits_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -193,3 +194,34 @@
 		})
 	}
 }
+
+// TestFlowingBody guards against refusing a body that keeps arriving but takes longer than the idle time, and against
+// waiting for one that has stopped arriving.
+func TestFlowingBody(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pause time.Duration // between two bytes
+		want  int
+	}{
+		{"flowing", narrowBounds.IdleTimeout * 9 / 10, http.StatusOK},
+		{"stopped", narrowBounds.IdleTimeout * 11 / 10, http.StatusRequestTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				conn := servePiped(t, echoBody, pipeliner.WithBounds(newConfig(narrowBounds).bounds))()
+				var sender sync.WaitGroup
+				sender.Go(func() {
+					conn.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n")
+					for range 20 {
+						time.Sleep(c.pause)
+						conn.send("x")
+					}
+				})
+				status, _, _ := conn.receive()
+				is.Equal(status, c.want)
+				sender.Wait()
+			})
+		})
+	}
+}
--- a/daemon/pipeliner/pipeliner.go
+++ b/daemon/pipeliner/pipeliner.go
@@ -35,7 +35,7 @@
 	MaxHeaderBytes int           // largest header section in bytes
 	MaxBodyBytes   int64         // largest body in bytes
 	HeaderTimeout  time.Duration // longest time to receive a header section
-	IdleTimeout    time.Duration // longest time without a call; also limits receiving a body
+	IdleTimeout    time.Duration // longest time without a call, and longest pause between two reads of a body
 }
 
 // defaultBounds applies while the configuration sets no bounds.
--- a/daemon/pipeliner/reader.go
+++ b/daemon/pipeliner/reader.go
@@ -79,7 +79,8 @@
 			return nil, nil, err
 		}
 	}
-	c.setReadDeadline(time.Now().Add(bounds.IdleTimeout))
+	c.limited.beforeRead = func() { c.setReadDeadline(time.Now().Add(c.server.currentBounds().IdleTimeout)) }
+	defer func() { c.limited.beforeRead = nil }()
 	body, err := io.ReadAll(io.LimitReader(r.Body, bounds.MaxBodyBytes+1))
 	switch {
 	case err != nil && isTimeout(err):
@@ -116,9 +117,10 @@
 
 // limitedReader limits the bytes that are read for one call.
 type limitedReader struct {
-	r         io.Reader
-	remaining int64
-	lastErr   error // error of the last read; http.ReadRequest does not return it
+	r          io.Reader
+	remaining  int64
+	beforeRead func() // called before each read of r; optional
+	lastErr    error  // error of the last read; http.ReadRequest does not return it
 }
 
 // Read reads up to the limit and then returns io.ErrUnexpectedEOF.
@@ -129,6 +131,9 @@
 	if int64(len(p)) > l.remaining {
 		p = p[:l.remaining]
 	}
+	if l.beforeRead != nil {
+		l.beforeRead()
+	}
 	n, err := l.r.Read(p)
 	l.remaining -= int64(n)
 	l.lastErr = err
