Do not read a connection that went back to the pool

Cause: courier.Client.Do read conn.reused after the call, when another call may already use the connection and set the field.

Change: the value is read before the call.

Result: TestReuseRace failed under the race detector before.

--- a/daemon/courier/client.go
+++ b/daemon/courier/client.go
@@ -110,8 +110,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w: %v", ErrUnsent, ErrUnreachable, err)
 		}
+		reused := conn.reused // another call may have taken the connection from the pool when doOnConn returns
 		answer, err := c.doOnConn(ctx, to, conn, call)
-		if conn.reused && errors.Is(err, ErrUnsent) && ctx.Err() == nil {
+		if reused && errors.Is(err, ErrUnsent) && ctx.Err() == nil {
 			continue // the server closed the idle connection; nothing was sent, so use another one
 		}
 		return answer, err
--- a/daemon/courier/client_test.go
+++ b/daemon/courier/client_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -191,6 +193,40 @@
 	is.Equal(string(a.Body), "third")
 }
 
+// TestReuseRace guards against access to a connection that another call has already taken from the pool. It fails under
+// the race detector only.
+func TestReuseRace(t *testing.T) {
+	is := is.New(t)
+	to := upstream(t, func(conn net.Conn, next func() *http.Request) {
+		for request := next(); request != nil; request = next() {
+			_, _ = io.WriteString(conn, answer(request.Header.Get("Id"), "x"))
+		}
+	})
+	var dials atomic.Int32
+	c := courier.New(courier.WithDial(func(_ context.Context, addr netip.AddrPort) (net.Conn, error) {
+		if dials.Add(1) > 1 {
+			return nil, errors.New("one connection only")
+		}
+		return net.Dial("tcp", addr.String())
+	}, time.Minute))
+	var first sync.WaitGroup
+	first.Go(func() {
+		_, err := c.Do(context.Background(), to, call("1"))
+		is.NoErr(err)
+	})
+	for dials.Load() == 0 {
+		runtime.Gosched()
+	}
+	// The second call takes the connection as soon as it is in the pool, while the first one returns.
+	for err := courier.ErrUnsent; err != nil; {
+		_, err = c.Do(context.Background(), to, call("2"))
+	}
+	first.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = c.Run(ctx) // closes the connection
+}
+
 // TestCancel guards against calls that continue on the server after the caller has canceled them.
 func TestCancel(t *testing.T) {
 	is := is.New(t)
