--- a/daemon/pipeliner/pipeliner.go
+++ b/daemon/pipeliner/pipeliner.go
@@ -19,6 +19,8 @@
 const (
 	// maxPipelined is how many calls of one connection may run or wait for their response to be written.
 	maxPipelined = 16
+	// closeCheckInterval is the time between two checks whether a caller with a full queue of calls has left.
+	closeCheckInterval = 50 * time.Millisecond
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 4 << 10
 	// writeTimeout is how long writing a response may take. It closes connections whose caller does not read.
@@ -33,7 +35,7 @@
 	MaxHeaderBytes int           // largest header section in bytes
 	MaxBodyBytes   int64         // largest body in bytes
 	HeaderTimeout  time.Duration // longest time to receive a header section
-	IdleTimeout    time.Duration // longest time without a call; also limits receiving a body
+	IdleTimeout    time.Duration // longest time without a call, and longest pause between two reads of a body
 }
 
 // defaultBounds applies while the configuration sets no bounds.
--- a/daemon/pipeliner/reader.go
+++ b/daemon/pipeliner/reader.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -15,19 +16,13 @@
 var errIdleTimeout = errors.New("idle")
 
 // readCall reads one call. If the call is invalid, it returns the response that rejects it.
-func (c *connection) readCall(bounds Bounds) (*courier.Request, *courier.Answer, error) {
-	c.limited.remaining = int64(bounds.MaxHeaderBytes) + readBufferBytes
-	_ = c.raw.SetReadDeadline(time.Now().Add(bounds.IdleTimeout))
-	if _, err := c.r.Peek(1); err != nil {
-		if !isTimeout(err) {
-			return nil, nil, err
-		}
-		if c.pending.Load() > 0 {
-			return c.readCall(bounds)
-		}
-		return nil, nil, errIdleTimeout
+func (c *connection) readCall() (*courier.Request, *courier.Answer, error) {
+	if err := c.awaitCall(); err != nil {
+		return nil, nil, err
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(bounds.HeaderTimeout))
+	bounds := c.server.currentBounds()
+	c.limited.remaining = int64(bounds.MaxHeaderBytes)
+	c.setReadDeadline(time.Now().Add(bounds.HeaderTimeout))
 	r, err := http.ReadRequest(c.r)
 	switch {
 	case err == nil:
@@ -40,12 +35,42 @@
 	default:
 		return nil, refuse(http.StatusBadRequest, "malformed request: "+err.Error()), nil
 	}
-	c.limited.remaining = bounds.MaxBodyBytes + int64(bounds.MaxHeaderBytes) + readBufferBytes
-	return c.readBody(r, bounds)
+	return c.readBody(r)
+}
+
+// awaitCall waits for the first byte of a call. It returns errIdleTimeout if none arrives in the idle time in force.
+func (c *connection) awaitCall() error {
+	c.limited.remaining = math.MaxInt64 // a single read of at most readBufferBytes
+	began := time.Now()
+	for {
+		c.setReadDeadline(time.Now().Add(c.idleTimeLeft(began)))
+		_, err := c.r.Peek(1)
+		if err == nil || !isTimeout(err) {
+			return err
+		}
+		if c.closing.Load() || c.idleTimeLeft(began) <= 0 {
+			return errIdleTimeout
+		}
+	}
+}
+
+// idleTimeLeft returns the time until a connection that has been waiting for a call since began is closed.
+func (c *connection) idleTimeLeft(began time.Time) time.Duration {
+	idleTimeout := c.server.currentBounds().IdleTimeout
+	if c.pending.Load() > 0 {
+		return idleTimeout
+	}
+	if answered := c.lastAnswer.Load(); answered != nil && answered.After(began) {
+		began = *answered
+	}
+	return idleTimeout - time.Since(began)
 }
 
 // readBody reads the body of a call.
-func (c *connection) readBody(r *http.Request, bounds Bounds) (*courier.Request, *courier.Answer, error) {
+func (c *connection) readBody(r *http.Request) (*courier.Request, *courier.Answer, error) {
+	bounds := c.server.currentBounds()
+	// Only the data of a body counts towards its limit. net/http limits what surrounds the data in chunked encoding.
+	c.limited.remaining = math.MaxInt64
 	if r.ContentLength > bounds.MaxBodyBytes {
 		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is too large"), nil
 	}
@@ -54,13 +79,16 @@
 			return nil, nil, err
 		}
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(bounds.IdleTimeout))
+	c.limited.beforeRead = func() { c.setReadDeadline(time.Now().Add(c.server.currentBounds().IdleTimeout)) }
+	defer func() { c.limited.beforeRead = nil }()
 	body, err := io.ReadAll(io.LimitReader(r.Body, bounds.MaxBodyBytes+1))
 	switch {
 	case err != nil && isTimeout(err):
 		return nil, refuse(http.StatusRequestTimeout, "the body took too long"), nil
-	case err != nil:
+	case errors.Is(err, io.ErrUnexpectedEOF) || isConnError(c.limited.lastErr):
 		return nil, nil, err
+	case err != nil:
+		return nil, refuse(http.StatusBadRequest, "malformed body: "+err.Error()), nil
 	case int64(len(body)) > bounds.MaxBodyBytes:
 		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is too large"), nil
 	}
@@ -89,9 +117,10 @@
 
 // limitedReader limits the bytes that are read for one call.
 type limitedReader struct {
-	r         io.Reader
-	remaining int64
-	lastErr   error // error of the last read; http.ReadRequest does not return it
+	r          io.Reader
+	remaining  int64
+	beforeRead func() // called before each read of r; optional
+	lastErr    error  // error of the last read; http.ReadRequest does not return it
 }
 
 // Read reads up to the limit and then returns io.ErrUnexpectedEOF.
@@ -102,6 +131,9 @@
 	if int64(len(p)) > l.remaining {
 		p = p[:l.remaining]
 	}
+	if l.beforeRead != nil {
+		l.beforeRead()
+	}
 	n, err := l.r.Read(p)
 	l.remaining -= int64(n)
 	l.lastErr = err
