Repeat an interrupted first start of a controller

Cause: the first log is written before the identity. A founder that stopped in between found a file at its next start, did not initialize the folder again, and took the log for that of a node that was in use. The same happened after an I/O error and to 'controller init'. A failed stat of the identity made a founder a joining node.

Change: a folder without identity is initialized again if its log shows no term or vote that only a running node can have. I/O errors no longer count as an existing or missing file. Each start syncs the log, the folder and its parent, since the run before may have ended between a write and its sync.

--- a/controller/storer/checkpoint.go
+++ b/controller/storer/checkpoint.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"os"
 	"path/filepath"
 
 	"bluebellhoist/core/encoder"
@@ -25,7 +24,7 @@
 }
 
 func (s *Storer) loadCheckpoint() error {
-	data, err := os.ReadFile(filepath.Join(s.folder, checkpointFile))
+	data, err := s.files.Read(filepath.Join(s.folder, checkpointFile))
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
 	}
--- a/controller/storer/log.go
+++ b/controller/storer/log.go
@@ -1,7 +1,6 @@
 package storer
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -45,10 +44,10 @@
 }
 
 func (s *Storer) appendSynced(data []byte) error {
-	if _, err := s.log.WriteAt(data, s.size); err != nil {
+	if err := s.files.WriteAt(s.log, data, s.size); err != nil {
 		return fmt.Errorf("%w: %v", ErrIO, err)
 	}
-	if err := s.log.Sync(); err != nil {
+	if err := s.files.Sync(s.log); err != nil {
 		return fmt.Errorf("%w: %v", ErrIO, err)
 	}
 	s.size += int64(len(data))
@@ -68,12 +67,12 @@
 	if err := s.replace(logFile, data); err != nil {
 		return err
 	}
-	f, err := os.OpenFile(filepath.Join(s.folder, logFile), os.O_RDWR, 0)
+	f, err := s.files.Open(filepath.Join(s.folder, logFile), os.O_RDWR)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrIO, err)
 	}
 	if s.log != nil {
-		_ = s.log.Close()
+		_ = s.files.Close(s.log)
 	}
 	s.log, s.size = f, int64(len(data))
 	return nil
@@ -99,7 +98,7 @@
 // loadLog reads the log, truncates a torn last frame, and drops the log if the checkpoint has replaced it.
 func (s *Storer) loadLog() error {
 	path := filepath.Join(s.folder, logFile)
-	data, err := os.ReadFile(path)
+	data, err := s.files.Read(path)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrDamaged, err)
 	}
@@ -112,15 +111,19 @@
 			return err
 		}
 	}
-	if s.log, err = os.OpenFile(path, os.O_RDWR, 0); err != nil {
+	if s.log, err = s.files.Open(path, os.O_RDWR); err != nil {
 		return fmt.Errorf("%w: %v", ErrIO, err)
 	}
 	s.size, s.tornBytes = end, int64(len(data))-end
 	if s.tornBytes > 0 {
-		if err := errors.Join(s.log.Truncate(end), s.log.Sync()); err != nil {
+		if err := s.files.Truncate(s.log, end); err != nil {
 			return fmt.Errorf("%w: %v", ErrIO, err)
 		}
 	}
+	// The last run may have ended between writing a frame and syncing it.
+	if err := s.files.Sync(s.log); err != nil {
+		return fmt.Errorf("%w: %v", ErrIO, err)
+	}
 	return s.reconcileCheckpoint()
 }
 
--- a/controller/storer/storer.go
+++ b/controller/storer/storer.go
@@ -2,21 +2,22 @@
 //
 // A data folder holds the files lock, identity, checkpoint and log. Identity and checkpoint are replaced atomically.
 // The log is appended to, one frame for each sync, and replaced atomically when it is compacted.
+//
+// The first start writes the log and then the identity. A folder without identity has therefore never been in use, and the
+// next start repeats the first one, unless the log shows a term or a vote that only a running node can have.
 package storer
 
 import (
 	"errors"
 	"fmt"
 	"io/fs"
-	"net/netip"
 	"os"
 	"path/filepath"
-	"slices"
-	"strings"
 
 	"github.com/google/uuid"
 
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/saver"
 	"bluebellhoist/core/wire"
 )
 
@@ -53,6 +54,7 @@
 // Storer writes the durable state of one node. Its methods must be called from one goroutine.
 type Storer struct {
 	folder    string
+	files     saver.Files
 	lock      *os.File
 	log       *os.File
 	size      int64 // size of the log in bytes
@@ -62,9 +64,18 @@
 	writeErr  error // first failed write; fails all later ones
 }
 
-// Open opens the folder and locks it. In an empty folder it creates a node with a new identity.
-func Open(folder, name string) (*Storer, error) {
-	s, err := openLocked(folder)
+// Option configures a Storer.
+type Option func(*Storer)
+
+// WithFiles sets the file operations.
+func WithFiles(files saver.Files) Option {
+	return func(s *Storer) { s.files = files }
+}
+
+// Open opens the folder and locks it. In a folder without identity that was never in use it creates a node with a new
+// identity.
+func Open(folder, name string, opts ...Option) (*Storer, error) {
+	s, err := openLocked(folder, opts)
 	if err != nil {
 		return nil, err
 	}
@@ -75,58 +86,6 @@
 	return s, nil
 }
 
-// InitCluster creates a new cluster in an empty folder, with self as its only voter.
-func InitCluster(folder string, self wire.Node) (wire.Identity, error) {
-	s, err := openLocked(folder)
-	if err != nil {
-		return wire.Identity{}, err
-	}
-	defer s.Close()
-	for _, name := range []string{identityFile, logFile, checkpointFile} {
-		if _, err := os.Stat(filepath.Join(folder, name)); !errors.Is(err, fs.ErrNotExist) {
-			return wire.Identity{}, fmt.Errorf("%w: %s", ErrExists, folder)
-		}
-	}
-	self.ID, self.Voter = uuid.NewString(), true
-	first := wire.Entry{Index: 1, Term: 1, Nodes: []wire.Node{self}}
-	if err := s.initialize(uuid.NewString(), self.ID, self.Name, wire.Record{Term: 1, Entries: []wire.Entry{first}}); err != nil {
-		return wire.Identity{}, err
-	}
-	return s.identity, nil
-}
-
-// InitFounder creates the folder of one founder of a cluster. It does nothing if the folder already holds a node.
-//
-// All founders must be given the same addresses in any order; each is named after its own address. Identities are
-// derived from the addresses, so that all founders write the same first entry without communication. InitFounder must be
-// called only on the first start of the cluster: the identity of a founder whose disk was lost must never be used again.
-func InitFounder(folder string, self netip.AddrPort, founders []netip.AddrPort) error {
-	s, err := openLocked(folder)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	for _, name := range []string{identityFile, logFile, checkpointFile} {
-		if _, err := os.Stat(filepath.Join(folder, name)); !errors.Is(err, fs.ErrNotExist) {
-			return nil
-		}
-	}
-	sorted := slices.SortedFunc(slices.Values(founders), netip.AddrPort.Compare)
-	var nodes []wire.Node
-	names := make([]string, 0, len(sorted))
-	for _, addr := range sorted {
-		names = append(names, addr.String())
-		nodes = append(nodes, wire.Node{ID: founderID(addr), Name: addr.String(), Addr: addr, Voter: true})
-	}
-	first := wire.Entry{Index: 1, Term: 1, Nodes: nodes}
-	cluster := uuid.NewSHA1(uuid.Nil, []byte(strings.Join(names, " "))).String()
-	return s.initialize(cluster, founderID(self), self.String(), wire.Record{Term: 1, Entries: []wire.Entry{first}})
-}
-
-func founderID(addr netip.AddrPort) string {
-	return uuid.NewSHA1(uuid.Nil, []byte("founder "+addr.String())).String()
-}
-
 // Identity returns the identity of the node.
 func (s *Storer) Identity() wire.Identity {
 	return s.identity
@@ -151,9 +110,9 @@
 func (s *Storer) Close() error {
 	var err error
 	if s.log != nil {
-		err = s.log.Close()
+		err = s.files.Close(s.log)
 	}
-	return errors.Join(err, s.lock.Close())
+	return errors.Join(err, s.files.Close(s.lock))
 }
 
 // Join durably stores the cluster that the node belongs to.
@@ -176,9 +135,9 @@
 }
 
 func (s *Storer) load(name string) error {
-	data, err := os.ReadFile(filepath.Join(s.folder, identityFile))
+	data, err := s.files.Read(filepath.Join(s.folder, identityFile))
 	if errors.Is(err, fs.ErrNotExist) {
-		if err := s.checkUninitialized(); err != nil {
+		if _, err := s.firstLog(); err != nil {
 			return err
 		}
 		return s.initialize("", uuid.NewString(), name, wire.Record{})
@@ -186,6 +145,10 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrIO, err)
 	}
+	// The last run may have ended between renaming a file and syncing the folder.
+	if err := s.files.SyncFolder(s.folder); err != nil {
+		return fmt.Errorf("%w: %v", ErrIO, err)
+	}
 	payloads, _ := scan(data, 0)
 	if len(payloads) != 1 || encoder.Unmarshal(payloads[0], &s.identity) != nil {
 		return fmt.Errorf("%w: %s", ErrDamaged, identityFile)
@@ -199,32 +162,6 @@
 	return s.loadLog()
 }
 
-// checkUninitialized accepts a folder without identity only if it holds no vote and no entries. The identity is written
-// last, so a folder without it cannot have been in use.
-func (s *Storer) checkUninitialized() error {
-	if _, err := os.Stat(filepath.Join(s.folder, checkpointFile)); !errors.Is(err, fs.ErrNotExist) {
-		return fmt.Errorf("%w: %s without %s", ErrDamaged, checkpointFile, identityFile)
-	}
-	if _, err := os.Stat(filepath.Join(s.folder, logFile)); errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	if err := s.loadLog(); err != nil {
-		return err
-	}
-	if s.state.Term != 0 || len(s.state.Entries) > 0 {
-		return fmt.Errorf("%w: %s without %s", ErrDamaged, logFile, identityFile)
-	}
-	return s.log.Close()
-}
-
-func (s *Storer) initialize(cluster, id, name string, rec wire.Record) error {
-	if err := s.rewrite(rec); err != nil {
-		return err
-	}
-	s.state = State{Term: rec.Term, Entries: rec.Entries}
-	return s.writeIdentity(wire.Identity{Cluster: cluster, ID: id, Name: name})
-}
-
 func (s *Storer) writeIdentity(identity wire.Identity) error {
 	data, err := encoder.Marshal(identity)
 	if err != nil {
--- a/core/saver/saver.go
+++ b/core/saver/saver.go
@@ -13,36 +13,30 @@
 
 // Replace atomically and durably replaces the content of the named file in the folder with data.
 func Replace(folder, name string, data []byte) error {
-	path := filepath.Join(folder, name)
-	if err := writeAndSync(path+".tmp", data); err != nil {
-		return fmt.Errorf("%w: %v", ErrIO, err)
-	}
-	if err := os.Rename(path+".tmp", path); err != nil {
-		return fmt.Errorf("%w: %v", ErrIO, err)
-	}
-	return SyncFolder(folder)
+	return OS().Replace(folder, name, data)
 }
 
-// SyncFolder syncs a folder, which makes the creation and renaming of files in it durable.
-func SyncFolder(folder string) error {
-	dir, err := os.Open(folder)
-	if err != nil {
+// Replace atomically and durably replaces the content of the named file in the folder with data. After an error the file
+// has either content, and after a crash it may change from the new one back to the old one until the folder is synced.
+func (f Files) Replace(folder, name string, data []byte) error {
+	path := filepath.Join(folder, name)
+	if err := f.writeAndSync(path+".tmp", data); err != nil {
 		return fmt.Errorf("%w: %v", ErrIO, err)
 	}
-	if err := errors.Join(dir.Sync(), dir.Close()); err != nil {
+	if err := f.Rename(path+".tmp", path); err != nil {
 		return fmt.Errorf("%w: %v", ErrIO, err)
 	}
-	return nil
+	return f.SyncFolder(folder)
 }
 
-func writeAndSync(path string, data []byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+func (f Files) writeAndSync(path string, data []byte) error {
+	file, err := f.Open(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC)
 	if err != nil {
 		return err
 	}
-	_, err = file.Write(data)
+	err = f.WriteAt(file, data, 0)
 	if err == nil {
-		err = file.Sync()
+		err = f.Sync(file)
 	}
-	return errors.Join(err, file.Close())
+	return errors.Join(err, f.Close(file))
 }
--- a/core/saver/saver_test.go
+++ b/core/saver/saver_test.go
@@ -25,3 +25,25 @@
 	}
 	is.True(errors.Is(saver.Replace(filepath.Join(folder, "missing"), "a", nil), saver.ErrIO))
 }
+
+// TestEnsureFolder guards against a folder that is lost with the machine because the sync of its parent failed in the run
+// that created it.
+func TestEnsureFolder(t *testing.T) {
+	is := is.New(t)
+	parent := t.TempDir()
+	folder := filepath.Join(parent, "a", "b")
+	errSync := errors.New("sync")
+	var synced []string
+	files := saver.OS()
+	files.Sync = func(f *os.File) error {
+		synced = append(synced, f.Name())
+		if f.Name() == filepath.Dir(folder) && len(synced) == 3 {
+			return errSync
+		}
+		return f.Sync()
+	}
+	is.True(errors.Is(files.EnsureFolder(folder), saver.ErrIO))
+	is.Equal(synced, []string{filepath.Dir(parent), parent, filepath.Dir(folder)})
+	is.NoErr(files.EnsureFolder(folder))
+	is.Equal(synced[3:], []string{filepath.Dir(folder)})
+}
--- a/daemon/subscriber/store.go
+++ b/daemon/subscriber/store.go
@@ -20,11 +20,15 @@
 	folder string
 }
 
-// load returns the stored snapshot, or nil if there is none.
+// load returns the stored snapshot, or nil if there is none. It creates the folder if needed, and syncs it, since the last run
+// may have ended between renaming the snapshot and syncing the folder.
 func (s store) load() (*compiler.Snapshot, error) {
 	if s.folder == "" {
 		return nil, nil
 	}
+	if err := errors.Join(saver.EnsureFolder(s.folder), saver.SyncFolder(s.folder)); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrStore, err)
+	}
 	data, err := os.ReadFile(filepath.Join(s.folder, storeFile))
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
--- a/daemon/subscriber/subscriber_test.go
+++ b/daemon/subscriber/subscriber_test.go
@@ -153,7 +153,8 @@
 }
 
 // TestRestart guards against a restarted daemon that accepts an older version from a stale controller: without a usable
-// stored snapshot it must ask for a barrier.
+// stored snapshot it must ask for a barrier. It also guards against a daemon that refuses every snapshot because its data
+// folder is missing.
 func TestRestart(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -167,6 +168,7 @@
 		{"damaged file", true, func(folder string) error {
 			return os.WriteFile(filepath.Join(folder, "snapshot"), []byte("x"), 0o600)
 		}, true, 0},
+		{"missing folder", true, os.RemoveAll, true, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
