--- a/controller/registrar/change.go
+++ b/controller/registrar/change.go
@@ -11,7 +11,7 @@
 	"bluebellhoist/core/wire"
 )
 
-// TombstoneVersions is the number of versions for which tombstones of removed services and routes are kept. A daemon
+// TombstoneVersions is the number of versions for which tombstones of removed services, routes and tenants are kept. A daemon
 // that is further behind gets the full batch instead of a delta.
 const TombstoneVersions = 1024
 
@@ -89,6 +89,9 @@
 	if err := compiler.CheckRoutes(e.Name, e.Routes, e.Services); err != nil {
 		return invalidResult(err)
 	}
+	if err := checkTenants(e, old); err != nil {
+		return invalidResult(err)
+	}
 	return wire.Result{}
 }
 
@@ -108,15 +111,17 @@
 	return wire.Result{}
 }
 
-// editedBatch returns the batch after e. Services that do not change keep the version of their last change.
+// editedBatch returns the batch after e. Services, routes and tenants that do not change keep the version of their last
+// change.
 func editedBatch(e wire.Edit, old wire.Batch, version uint64) wire.Batch {
 	batch := wire.Batch{
 		Name: e.Name, Version: version, Until: e.Until, Services: []wire.Service{},
-		Bounds: e.Bounds, Revision: e.Revision, Source: e.Source,
+		Bounds: e.Bounds, Revision: e.Revision, Source: e.Source, Salt: editedSalt(e, old),
 	}
 	if e.Drop {
 		batch.Lapsed = true
 		batch.Until = old.Until
+		batch.Auth = old.Auth
 		return batch
 	}
 	before := make(map[string]wire.Service, len(old.Services))
@@ -131,6 +136,8 @@
 		batch.Services = append(batch.Services, s)
 	}
 	batch.Routes = editedRoutes(e.Routes, old.Routes, version)
+	batch.Auth = editedAuth(e, old)
+	batch.Tenants = editedTenants(e, old, batch.Salt, version)
 	return batch
 }
 
@@ -155,27 +162,24 @@
 	return a.Name == b.Name && slices.Equal(a.Needs, b.Needs) && a.Class == b.Class && a.Once == b.Once && a.Limit == b.Limit && a.Conns == b.Conns
 }
 
-// removalTombstones returns a tombstone for each service and route of old that next lacks.
+// removalTombstones returns a tombstone for each service, route and tenant of old that next lacks.
 func removalTombstones(old, next wire.Batch) []wire.Tombstone {
-	keptServices := make(map[string]bool, len(next.Services))
-	for _, s := range next.Services {
-		keptServices[s.Name] = true
-	}
 	var tombstones []wire.Tombstone
 	for _, s := range old.Services {
-		if !keptServices[s.Name] {
+		if !hasService(next, s.Name) {
 			tombstones = append(tombstones, wire.Tombstone{Batch: old.Name, Service: s.Name, Version: next.Version})
 		}
 	}
-	keptRoutes := make(map[string]bool, len(next.Routes))
-	for _, r := range next.Routes {
-		keptRoutes[r.Name] = true
-	}
 	for _, r := range old.Routes {
-		if !keptRoutes[r.Name] {
+		if !hasRoute(next, r.Name) {
 			tombstones = append(tombstones, wire.Tombstone{Batch: old.Name, Route: r.Name, Version: next.Version})
 		}
 	}
+	for _, t := range old.Tenants {
+		if !hasTenant(next, t.Name) {
+			tombstones = append(tombstones, wire.Tombstone{Batch: old.Name, Tenant: t.Name, Version: next.Version})
+		}
+	}
 	return tombstones
 }
 
@@ -214,7 +218,7 @@
 	}
 }
 
-// expire marks every batch whose contract has ended as lapsed and removes its services and routes.
+// expire marks every batch whose contract has ended as lapsed and removes its services, routes and tenants.
 func (r *Registrar) expire() wire.Result {
 	next := r.version + 1
 	batches := maps.Clone(r.batches)
@@ -225,7 +229,7 @@
 			continue
 		}
 		lapsed = true
-		batch := wire.Batch{Name: name, Version: next, Until: old.Until, Lapsed: true, Services: []wire.Service{}}
+		batch := wire.Batch{Name: name, Version: next, Until: old.Until, Lapsed: true, Services: []wire.Service{}, Salt: old.Salt, Auth: old.Auth}
 		tombstones = append(tombstones, removalTombstones(old, batch)...)
 		batches[name] = batch
 	}
--- a/controller/registrar/results.go
+++ b/controller/registrar/results.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,7 +44,12 @@
 	}
 }
 
+// hashEdits returns a hash of the edits without their salts, which differ between retries of a change.
 func hashEdits(edits []wire.Edit) uint64 {
+	edits = slices.Clone(edits)
+	for i := range edits {
+		edits[i].Salt = nil
+	}
 	data, err := encoder.Marshal(edits)
 	if err != nil {
 		return 0
--- a/controller/registrar/view.go
+++ b/controller/registrar/view.go
@@ -92,7 +92,7 @@
 		return wire.Frame{Full: &wire.Full{Sum: b.sum(), Batch: b.batch}}, true
 	}
 	delta := &wire.Delta{From: held, Version: b.batch.Version, Sum: b.sum(), Until: b.batch.Until, Lapsed: b.batch.Lapsed,
-		Bounds: b.batch.Bounds, Revision: b.batch.Revision}
+		Bounds: b.batch.Bounds, Revision: b.batch.Revision, Salt: b.batch.Salt, Auth: b.batch.Auth}
 	for _, s := range b.batch.Services {
 		if s.Mod > held {
 			delta.ChangedServices = append(delta.ChangedServices, s)
@@ -103,9 +103,18 @@
 			delta.ChangedRoutes = append(delta.ChangedRoutes, r)
 		}
 	}
+	for _, t := range b.batch.Tenants {
+		if t.Mod > held {
+			delta.ChangedTenants = append(delta.ChangedTenants, t)
+		}
+	}
 	for _, t := range v.tombstones {
 		switch {
 		case t.Batch != name || t.Version <= held:
+		case t.Tenant != "":
+			if !hasTenant(b.batch, t.Tenant) {
+				delta.RemovedTenants = append(delta.RemovedTenants, t.Tenant)
+			}
 		case t.Route != "" && !hasRoute(b.batch, t.Route):
 			delta.RemovedRoutes = append(delta.RemovedRoutes, t.Route)
 		case t.Route == "" && !hasService(b.batch, t.Service):
@@ -116,6 +125,8 @@
 	delta.RemovedServices = slices.Compact(delta.RemovedServices)
 	slices.Sort(delta.RemovedRoutes)
 	delta.RemovedRoutes = slices.Compact(delta.RemovedRoutes)
+	slices.Sort(delta.RemovedTenants)
+	delta.RemovedTenants = slices.Compact(delta.RemovedTenants)
 	return wire.Frame{Delta: delta}, true
 }
 
@@ -144,6 +155,13 @@
 	return found
 }
 
+func hasTenant(batch wire.Batch, tenant string) bool {
+	_, found := slices.BinarySearchFunc(batch.Tenants, tenant, func(t wire.Tenant, name string) int {
+		return cmp.Compare(t.Name, name)
+	})
+	return found
+}
+
 func sortedBatches(batches map[string]wire.Batch) []wire.Batch {
 	all := make([]wire.Batch, 0, len(batches))
 	for _, b := range batches {
@@ -158,5 +176,5 @@
 }
 
 func compareTombstones(a, b wire.Tombstone) int {
-	return cmp.Or(cmp.Compare(a.Batch, b.Batch), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Route, b.Route))
+	return cmp.Or(cmp.Compare(a.Batch, b.Batch), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Tenant, b.Tenant))
 }
--- a/core/compiler/merge.go
+++ b/core/compiler/merge.go
@@ -1,64 +1,88 @@
 package compiler
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
 	"bluebellhoist/core/wire"
 )
 
-// hashedRoutes is a list of routes, sorted by name, with their hashes.
-type hashedRoutes struct {
-	routes []wire.Route
-	hashes []uint64
+// hashedList is a list of records, sorted by name, with the hash of each record.
+type hashedList[T any] struct {
+	records []T
+	hashes  []uint64
 }
 
-func (l *hashedRoutes) add(r wire.Route, hash uint64) {
-	l.routes = append(l.routes, r)
+func (l *hashedList[T]) add(record T, hash uint64) {
+	l.records = append(l.records, record)
 	l.hashes = append(l.hashes, hash)
 }
 
-// mergeRoutes returns a partial snapshot with the routes after delta is applied. Only changed routes are hashed.
-func (s *Snapshot) mergeRoutes(delta wire.Delta) (*Snapshot, error) {
-	current := s.batch.Routes
-	if len(delta.RemovedRoutes)+len(delta.ChangedRoutes) == 0 {
-		return &Snapshot{batch: wire.Batch{Routes: current}, hashes: s.hashes, routes: s.routes}, nil
+// recordKind holds the functions that merge needs for one type of record.
+type recordKind[T any] struct {
+	noun string
+	name func(*T) string
+	hash func(*T) uint64
+}
+
+var (
+	routeKind  = recordKind[wire.Route]{"route", func(r *wire.Route) string { return r.Name }, hashRoute}
+	tenantKind = recordKind[wire.Tenant]{"tenant", func(t *wire.Tenant) string { return t.Name }, hashTenant}
+)
+
+// hashList returns the list of records, which are sorted by name, with their hashes.
+func (k recordKind[T]) hashList(records []T) hashedList[T] {
+	hashes := make([]uint64, len(records))
+	for i := range records {
+		hashes[i] = k.hash(&records[i])
+	}
+	return hashedList[T]{records, hashes}
+}
+
+// merge returns current with the records in changed added or replaced and those named in removed left out. It does not
+// change current. Only changed records are hashed.
+func (k recordKind[T]) merge(batch string, current hashedList[T], changed []T, removed []string) (hashedList[T], error) {
+	if len(changed)+len(removed) == 0 {
+		return current, nil
 	}
-	changed, err := sortUnique(s.batch.Name, delta.ChangedRoutes)
+	changed, err := k.sortUnique(batch, changed)
 	if err != nil {
-		return nil, err
+		return hashedList[T]{}, err
 	}
-	removed := make(map[string]bool, len(delta.RemovedRoutes))
-	for _, name := range delta.RemovedRoutes {
-		removed[name] = true
+	isRemoved := make(map[string]bool, len(removed))
+	for _, name := range removed {
+		isRemoved[name] = true
 	}
-	size := len(current) + len(changed)
-	merged := hashedRoutes{make([]wire.Route, 0, size), make([]uint64, 0, size)}
-	for i, r := range current {
-		for len(changed) > 0 && changed[0].Name < r.Name {
-			merged.add(changed[0], hashRoute(&changed[0]))
+	size := len(current.records) + len(changed)
+	merged := hashedList[T]{make([]T, 0, size), make([]uint64, 0, size)}
+	for i := range current.records {
+		name := k.name(&current.records[i])
+		for len(changed) > 0 && k.name(&changed[0]) < name {
+			merged.add(changed[0], k.hash(&changed[0]))
 			changed = changed[1:]
 		}
 		switch {
-		case len(changed) > 0 && changed[0].Name == r.Name:
-			merged.add(changed[0], hashRoute(&changed[0]))
+		case len(changed) > 0 && k.name(&changed[0]) == name:
+			merged.add(changed[0], k.hash(&changed[0]))
 			changed = changed[1:]
-		case !removed[r.Name]:
-			merged.add(r, s.hashes[i])
+		case !isRemoved[name]:
+			merged.add(current.records[i], current.hashes[i])
 		}
 	}
-	for _, r := range changed {
-		merged.add(r, hashRoute(&r))
+	for i := range changed {
+		merged.add(changed[i], k.hash(&changed[i]))
 	}
-	return &Snapshot{batch: wire.Batch{Routes: merged.routes}, hashes: merged.hashes, routes: newMatcher(merged.routes)}, nil
+	return merged, nil
 }
 
-// sortUnique returns a copy of routes sorted by name, or an error if a name occurs twice.
-func sortUnique(batch string, routes []wire.Route) ([]wire.Route, error) {
-	sorted := SortRoutes(slices.Clone(routes))
+// sortUnique returns a copy of records sorted by name, or an error if a name occurs twice.
+func (k recordKind[T]) sortUnique(batch string, records []T) ([]T, error) {
+	sorted := slices.Clone(records)
+	slices.SortFunc(sorted, func(a, b T) int { return cmp.Compare(k.name(&a), k.name(&b)) })
 	for i := 1; i < len(sorted); i++ {
-		if sorted[i-1].Name == sorted[i].Name {
-			return nil, fmt.Errorf("%w: batch %q: route %q is duplicated", ErrInvalid, batch, sorted[i].Name)
+		if k.name(&sorted[i-1]) == k.name(&sorted[i]) {
+			return nil, fmt.Errorf("%w: batch %q: %s %q is duplicated", ErrInvalid, batch, k.noun, k.name(&sorted[i]))
 		}
 	}
 	return sorted, nil
--- a/core/compiler/routes.go
+++ b/core/compiler/routes.go
@@ -98,7 +98,7 @@
 // SameRoute reports whether two routes are equal apart from the version of their last change.
 func SameRoute(a, b wire.Route) bool {
 	return a.Name == b.Name && a.Host == b.Host && a.Prefix == b.Prefix && a.Retryable == b.Retryable &&
-		a.Timeout == b.Timeout && a.Target == b.Target && a.Rank == b.Rank && a.Attempts == b.Attempts &&
+		a.Timeout == b.Timeout && a.Target == b.Target && a.Rank == b.Rank && a.Attempts == b.Attempts && a.Public == b.Public &&
 		slices.Equal(a.Parts, b.Parts)
 }
 
--- a/core/compiler/snapshot.go
+++ b/core/compiler/snapshot.go
@@ -13,11 +13,13 @@
 
 // Snapshot is the validated configuration of one batch at one version. It is immutable.
 type Snapshot struct {
-	batch    wire.Batch
-	sum      uint64
-	hashes   []uint64 // hashes of batch.Routes, in the same order
-	services map[string]wire.Service
-	routes   matcher
+	batch        wire.Batch
+	sum          uint64
+	routeHashes  []uint64 // hashes of batch.Routes, in the same order
+	tenantHashes []uint64 // hashes of batch.Tenants, in the same order
+	services     map[string]wire.Service
+	routes       matcher
+	tenants      tenantIndex
 }
 
 // New returns a snapshot of batch, or an error if batch is invalid or its checksum is not sum.
@@ -28,14 +30,26 @@
 	if err := CheckRoutes(batch.Name, batch.Routes, batch.Services); err != nil {
 		return nil, err
 	}
-	s := &Snapshot{batch: batch, hashes: hashRoutes(batch.Routes), routes: newMatcher(batch.Routes)}
+	if err := CheckTenants(batch.Name, batch.Tenants); err != nil {
+		return nil, err
+	}
+	if err := checkSalt(batch); err != nil {
+		return nil, err
+	}
+	s := &Snapshot{
+		batch:        batch,
+		routeHashes:  routeKind.hashList(batch.Routes).hashes,
+		tenantHashes: tenantKind.hashList(batch.Tenants).hashes,
+		routes:       newMatcher(batch.Routes),
+		tenants:      newTenantIndex(batch.Tenants),
+	}
 	return s.verifyAndIndex(sum)
 }
 
 // verifyAndIndex returns an error if the checksum of the snapshot is not sum. Otherwise it stores sum, indexes the services
 // by name and returns s.
 func (s *Snapshot) verifyAndIndex(sum uint64) (*Snapshot, error) {
-	got, err := sumWithRouteHashes(s.batch, s.hashes)
+	got, err := sumWithHashes(s.batch, s.routeHashes, s.tenantHashes)
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +69,11 @@
 	if delta.From != s.batch.Version {
 		return nil, fmt.Errorf("%w: delta starts from version %d, current version is %d", ErrInvalid, delta.From, s.batch.Version)
 	}
-	next, err := s.mergeRoutes(delta)
+	routes, err := routeKind.merge(s.batch.Name, hashedList[wire.Route]{s.batch.Routes, s.routeHashes}, delta.ChangedRoutes, delta.RemovedRoutes)
+	if err != nil {
+		return nil, err
+	}
+	tenants, err := tenantKind.merge(s.batch.Name, hashedList[wire.Tenant]{s.batch.Tenants, s.tenantHashes}, delta.ChangedTenants, delta.RemovedTenants)
 	if err != nil {
 		return nil, err
 	}
@@ -66,26 +84,41 @@
 	for _, service := range delta.ChangedServices {
 		services[service.Name] = service
 	}
-	routes := next.batch.Routes
+	next := &Snapshot{routeHashes: routes.hashes, tenantHashes: tenants.hashes, routes: s.routes, tenants: s.tenants}
 	next.batch = wire.Batch{
 		Name:     s.batch.Name,
 		Version:  delta.Version,
 		Until:    delta.Until,
 		Lapsed:   delta.Lapsed,
 		Services: SortServices(slices.Collect(maps.Values(services))),
-		Routes:   routes,
+		Routes:   routes.records,
 		Bounds:   delta.Bounds,
 		Revision: delta.Revision,
+		Tenants:  tenants.records,
+		Salt:     delta.Salt,
+		Auth:     delta.Auth,
 	}
 	if len(delta.ChangedServices)+len(delta.RemovedServices) > 0 {
 		// Unchanged routes may refer to a service that the delta removes, so all routes are checked.
-		err = errors.Join(CheckServices(next.batch.Name, next.batch.Services), CheckRoutes(next.batch.Name, routes, next.batch.Services))
+		err = errors.Join(CheckServices(next.batch.Name, next.batch.Services), CheckRoutes(next.batch.Name, next.batch.Routes, next.batch.Services))
 	} else {
 		err = checkChangedRoutes(next.batch, delta.ChangedRoutes)
 	}
 	if err != nil {
 		return nil, err
 	}
+	if err := checkSalt(next.batch); err != nil {
+		return nil, err
+	}
+	if len(delta.ChangedRoutes)+len(delta.RemovedRoutes) > 0 {
+		next.routes = newMatcher(next.batch.Routes)
+	}
+	if len(delta.ChangedTenants)+len(delta.RemovedTenants) > 0 {
+		if err := CheckTenants(next.batch.Name, next.batch.Tenants); err != nil {
+			return nil, err
+		}
+		next.tenants = newTenantIndex(next.batch.Tenants)
+	}
 	return next.verifyAndIndex(delta.Sum)
 }
 
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -16,6 +16,9 @@
 
 // Batch is a group of services routed under one support contract.
 type Batch struct {
+	// True if calls on routes that are not public need a key.
+	Auth bool `json:"auth,omitempty,omitzero"`
+
 	// Bounds corresponds to the JSON schema field "bounds".
 	Bounds *Bounds `json:"bounds,omitempty,omitzero"`
 
@@ -31,6 +34,9 @@
 	// Routes sorted by name.
 	Routes []Route `json:"routes,omitempty,omitzero"`
 
+	// Key of the hashes of the tenants' keys; it never changes once it is set.
+	Salt []byte `json:"salt,omitempty,omitzero"`
+
 	// Services sorted by name.
 	Services []Service `json:"services"`
 
@@ -38,6 +44,9 @@
 	// only.
 	Source []byte `json:"source"`
 
+	// Tenants sorted by name.
+	Tenants []Tenant `json:"tenants,omitempty,omitzero"`
+
 	// Expiry of the contract, in milliseconds since the Unix epoch.
 	Until int64 `json:"until"`
 
@@ -155,6 +164,9 @@
 // Delta holds the changes between two snapshots of one batch, from version from to
 // version version.
 type Delta struct {
+	// True if calls on routes that are not public need a key.
+	Auth bool `json:"auth,omitempty,omitzero"`
+
 	// Bounds corresponds to the JSON schema field "bounds".
 	Bounds *Bounds `json:"bounds,omitempty,omitzero"`
 
@@ -167,6 +179,9 @@
 	// Version the delta starts from.
 	From uint64 `json:"from"`
 
+	// Names of tenants removed.
+	RemovedTenants []string `json:"gone,omitempty,omitzero"`
+
 	// True once the contract has expired or the batch was dropped.
 	Lapsed bool `json:"lapsed"`
 
@@ -179,9 +194,15 @@
 	// Routes added or changed.
 	ChangedRoutes []Route `json:"routes,omitempty,omitzero"`
 
+	// Salt after the delta is applied.
+	Salt []byte `json:"salt,omitempty,omitzero"`
+
 	// Checksum of the resulting snapshot.
 	Sum uint64 `json:"sum"`
 
+	// Tenants added or changed.
+	ChangedTenants []Tenant `json:"tenants,omitempty,omitzero"`
+
 	// Expiry of the contract, in milliseconds since the Unix epoch.
 	Until int64 `json:"until"`
 
@@ -191,6 +212,9 @@
 
 // Edit replaces or drops one batch within a change.
 type Edit struct {
+	// True if the operator's text lists tenants, even if the list is empty.
+	Auth bool `json:"auth,omitempty,omitzero"`
+
 	// Batch version that the edit is based on; 0 for a new batch.
 	Base uint64 `json:"base"`
 
@@ -212,6 +236,9 @@
 	// Routes sorted by name.
 	Routes []Route `json:"routes,omitempty,omitzero"`
 
+	// Random salt for a batch that has none.
+	Salt []byte `json:"salt,omitempty,omitzero"`
+
 	// Services sorted by name.
 	Services []Service `json:"services,omitempty,omitzero"`
 
@@ -219,6 +246,9 @@
 	// only.
 	Source []byte `json:"source"`
 
+	// Tenants sorted by name.
+	Tenants []Tenant `json:"tenants,omitempty,omitzero"`
+
 	// Expiry of the contract, in milliseconds since the Unix epoch.
 	Until int64 `json:"until"`
 }
@@ -558,6 +588,9 @@
 	// Path prefix of the calls; the longest matching prefix wins.
 	Prefix string `json:"prefix"`
 
+	// True if calls need no key.
+	Public bool `json:"public,omitempty,omitzero"`
+
 	// Rank of the calls; 0 is the most urgent.
 	Rank int `json:"rank"`
 
@@ -617,17 +650,42 @@
 	Version uint64 `json:"version"`
 }
 
-// Tombstone records the removal of a service or route from a batch.
+// Tenant is one group of callers that shares API keys and a quota.
+type Tenant struct {
+	// Calls in addition to the rate.
+	Burst float64 `json:"burst"`
+
+	// Sorted hashes of its keys: SHA-256 in an edit, keyed with the salt of the batch
+	// elsewhere.
+	Keys [][]byte `json:"keys"`
+
+	// Version at which the tenant last changed.
+	Mod uint64 `json:"mod"`
+
+	// Name of the tenant.
+	Name string `json:"name"`
+
+	// Rank of its calls; null to use the rank of the route.
+	Rank *int `json:"rank,omitempty,omitzero"`
+
+	// Calls per second; 0 for no limit.
+	Rate float64 `json:"rate"`
+}
+
+// Tombstone records the removal of a service, route or tenant from a batch.
 type Tombstone struct {
 	// Name of the batch.
 	Batch string `json:"batch"`
 
-	// Name of the removed route; empty if a service was removed.
+	// Name of the removed route; empty if a service or tenant was removed.
 	Route string `json:"route"`
 
 	// Name of the service.
 	Service string `json:"service"`
 
+	// Name of the removed tenant; empty if a service or route was removed.
+	Tenant string `json:"tenant,omitempty,omitzero"`
+
 	// Version that removed it.
 	Version uint64 `json:"version"`
 }
