--- a/bluebellctl/batch.go
+++ b/bluebellctl/batch.go
@@ -70,10 +70,15 @@
 	Target   string         `json:"target"`
 	Rank     int            `json:"rank"`
 	Attempts int            `json:"attempts"`
+	Public   bool           `json:"public,omitempty"`
 }
 
-// formatBatch returns a change file that sets b to its present content, with the version of b as base.
+// formatBatch returns a change file that sets b to its present content, with the version of b as base. Controllers hold no
+// keys, so a batch with tenants has no such file: applying one without them would open its routes to everyone.
 func formatBatch(b presenter.Batch) ([]byte, error) {
+	if b.Auth {
+		return nil, fmt.Errorf("%w: batch %q has tenants, whose keys cannot be read back; edit the text that was applied, with base %d", errInvalid, b.Name, b.Version)
+	}
 	batch := changeFileBatch{Base: b.Version, Until: b.Until, Services: make(map[string]changeFileService, len(b.Services)), Bounds: b.Bounds}
 	for _, s := range b.Services {
 		needs := s.Needs
@@ -88,7 +93,7 @@
 	for _, r := range b.Routes {
 		batch.Routes[r.Name] = changeFileRoute{
 			Host: r.Host, Prefix: r.Prefix, Parts: r.Parts, Repeat: r.Repeat, Timeout: r.Timeout, Target: r.Target,
-			Rank: r.Rank, Attempts: r.Attempts,
+			Rank: r.Rank, Attempts: r.Attempts, Public: r.Public,
 		}
 	}
 	var out bytes.Buffer
--- a/bluebellctl/main_test.go
+++ b/bluebellctl/main_test.go
@@ -220,3 +220,10 @@
 	is.NoErr(err)
 	is.True(reflect.DeepEqual(again, edits))
 }
+
+// TestFormatTenants guards against a printed batch that removes all tenants, and with them the need for keys, when it is
+// applied.
+func TestFormatTenants(t *testing.T) {
+	_, err := formatBatch(presenter.Batch{Name: "counter", Auth: true, Tenants: []presenter.Tenant{{Name: "t", Keys: 1}}})
+	is.New(t).True(errors.Is(err, errInvalid))
+}
--- a/controller/administrator/queries.go
+++ b/controller/administrator/queries.go
@@ -68,6 +68,7 @@
 		Lapsed:   b.Lapsed,
 		Services: make([]presenter.Service, 0, len(b.Services)),
 		Revision: b.Revision,
+		Auth:     b.Auth,
 	}
 	for _, s := range b.Services {
 		needs := s.Needs
@@ -79,6 +80,9 @@
 	for _, r := range b.Routes {
 		out.Routes = append(out.Routes, routeOf(r))
 	}
+	for _, t := range b.Tenants {
+		out.Tenants = append(out.Tenants, presenter.Tenant{Name: t.Name, Keys: len(t.Keys), Rank: t.Rank, Rate: t.Rate, Burst: t.Burst})
+	}
 	if b.Bounds != nil {
 		out.Bounds = &presenter.Bounds{
 			Header: b.Bounds.Header, Body: b.Bounds.Body, Wait: b.Bounds.Wait.String(), Idle: b.Bounds.Idle.String(),
@@ -91,7 +95,7 @@
 func routeOf(r wire.Route) presenter.Route {
 	out := presenter.Route{
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Parts: make(map[string]int, len(r.Parts)), Repeat: r.Retryable,
-		Timeout: r.Timeout.String(), Target: r.Target.String(), Rank: r.Rank, Attempts: r.Attempts,
+		Timeout: r.Timeout.String(), Target: r.Target.String(), Rank: r.Rank, Attempts: r.Attempts, Public: r.Public,
 	}
 	for _, p := range r.Parts {
 		out.Parts[p.Service] += p.Weight
--- a/core/compiler/tenants.go
+++ b/core/compiler/tenants.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -107,6 +108,12 @@
 	return nil
 }
 
+// SortTenants sorts tenants by name in place and returns them.
+func SortTenants(tenants []wire.Tenant) []wire.Tenant {
+	slices.SortFunc(tenants, func(a, b wire.Tenant) int { return cmp.Compare(a.Name, b.Name) })
+	return tenants
+}
+
 // SameTenant reports whether two tenants are equal apart from the version of their last change.
 func SameTenant(a, b wire.Tenant) bool {
 	sameRank := a.Rank == nil && b.Rank == nil || a.Rank != nil && b.Rank != nil && *a.Rank == *b.Rank
--- a/core/compiler/tenants_test.go
+++ b/core/compiler/tenants_test.go
@@ -192,3 +192,54 @@
 		})
 	}
 }
+
+// TestParseTenants guards against losing a field of a tenant, and against accepting malformed tenants.
+func TestParseTenants(t *testing.T) {
+	parse := func(tenants string) (wire.Edit, error) {
+		text := `{"batches": {"m": {"until": "2100-01-01T00:00:00Z", "services": {"a": {}},
+			"routes": {"r": {"host": "h", "prefix": "/", "parts": {"a": 1}, "public": true}}, "tenants": ` + tenants + `}}}`
+		edits, err := compiler.Parse([]byte(text), now)
+		if err != nil {
+			return wire.Edit{}, err
+		}
+		return edits[0], nil
+	}
+	t.Run("all fields", func(t *testing.T) {
+		is := is.New(t)
+		edit, err := parse(`{"u": {}, "t": {"keys": ["k", "k"], "rank": 1, "rate": 250, "burst": 30}}`)
+		is.NoErr(err)
+		is.True(edit.Auth)
+		is.Equal(len(edit.Salt), compiler.SaltSize)
+		is.True(edit.Routes[0].Public)
+		rank := 1
+		is.Equal(edit.Tenants, []wire.Tenant{
+			{Name: "t", Keys: [][]byte{compiler.DigestKey("k")}, Rank: &rank, Rate: 250, Burst: 30}, {Name: "u"},
+		})
+	})
+	t.Run("none", func(t *testing.T) {
+		is := is.New(t)
+		edit, err := parse(`null`)
+		is.NoErr(err)
+		is.True(!edit.Auth)
+		edit, err = parse(`{}`)
+		is.NoErr(err)
+		is.True(edit.Auth)
+	})
+	for name, tenants := range map[string]string{
+		"shared key":    `{"t": {"keys": ["secret"]}, "u": {"keys": ["secret"]}}`,
+		"empty key":     `{"t": {"keys": [""]}}`,
+		"space in key":  `{"t": {"keys": ["secret 1"]}}`,
+		"negative rate": `{"t": {"keys": ["secret"], "rate": -1}}`,
+		"negative rank": `{"t": {"keys": ["secret"], "rank": -1}}`,
+		"unknown field": `{"t": {"keys": ["secret"], "speed": 1}}`,
+		"name":          `{" t": {"keys": ["secret"]}}`,
+		"bare key":      `{"t": {"keys": [secret]}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := parse(tenants)
+			is.True(errors.Is(err, compiler.ErrInvalid))
+			is.True(!bytes.Contains([]byte(err.Error()), []byte("secret")))
+		})
+	}
+}
--- a/core/compiler/text.go
+++ b/core/compiler/text.go
@@ -26,6 +26,7 @@
 	Services map[string]textService `json:"services"`
 	Routes   map[string]textRoute   `json:"routes"`
 	Bounds   *textBounds            `json:"bounds"`
+	Tenants  map[string]textTenant  `json:"tenants"`
 }
 
 type textService struct {
@@ -92,6 +93,12 @@
 	if edit.Bounds, err = b.Bounds.parse(name); err != nil {
 		return wire.Edit{}, err
 	}
+	if b.Tenants != nil {
+		edit.Auth, edit.Salt = true, NewSalt()
+		if edit.Tenants, err = parseTenants(name, b.Tenants); err != nil {
+			return wire.Edit{}, err
+		}
+	}
 	return edit, CheckRoutes(name, edit.Routes, edit.Services)
 }
 
--- a/core/compiler/textroutes.go
+++ b/core/compiler/textroutes.go
@@ -19,6 +19,7 @@
 	Target   string         `json:"target"`
 	Rank     int            `json:"rank"`
 	Attempts int            `json:"attempts"` // 1 if omitted
+	Public   bool           `json:"public"`   // calls need no key
 }
 
 // textBounds holds the limits on requests from callers of the routes.
@@ -42,7 +43,9 @@
 }
 
 func (t textRoute) parse(name string) (wire.Route, error) {
-	route := wire.Route{Name: name, Host: t.Host, Prefix: t.Prefix, Retryable: t.Repeat, Rank: t.Rank, Attempts: max(t.Attempts, 1)}
+	route := wire.Route{
+		Name: name, Host: t.Host, Prefix: t.Prefix, Retryable: t.Repeat, Rank: t.Rank, Attempts: max(t.Attempts, 1), Public: t.Public,
+	}
 	for _, service := range slices.Sorted(maps.Keys(t.Parts)) {
 		route.Parts = append(route.Parts, wire.Part{Service: service, Weight: t.Parts[service]})
 	}
--- a/core/loader/loader.go
+++ b/core/loader/loader.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/tailscale/hujson"
 )
@@ -40,12 +41,21 @@
 	return value, nil
 }
 
+// withoutLiteral removes the malformed literal that the parser appends to its errors, since it may be a secret.
+func withoutLiteral(message string) string {
+	const end = "invalid literal"
+	if before, _, found := strings.Cut(message, end); found {
+		return before + end
+	}
+	return message
+}
+
 // Text decodes JSON with comments into v. It rejects unknown fields.
 func Text(text []byte, v any) error {
 	// Standardize replaces comments by spaces in place, so that error positions remain correct.
 	plain, err := hujson.Standardize(bytes.Clone(text))
 	if err != nil {
-		return fmt.Errorf("%w: %v", ErrInvalid, err)
+		return fmt.Errorf("%w: %s", ErrInvalid, withoutLiteral(err.Error()))
 	}
 	dec := json.NewDecoder(bytes.NewReader(plain))
 	dec.DisallowUnknownFields()
--- a/core/loader/loader_test.go
+++ b/core/loader/loader_test.go
@@ -32,3 +32,20 @@
 	is.NoErr(err)
 	is.Equal(value, "x")
 }
+
+// TestTextHidesLiterals guards against secrets in errors and logs after a typing error next to them.
+func TestTextHidesLiterals(t *testing.T) {
+	for _, text := range []string{
+		`{"keys": [secret]}`, `{"keys": ["\secret"]}`, `{"keys": ["secret]}`, `{"keys": ["secret" "secret"]}`, `{"keys": "secret"}`, `{"keys": [1secret]}`,
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			var v struct {
+				Keys []string `json:"keys"`
+			}
+			err := loader.Text([]byte(text), &v)
+			is.True(errors.Is(err, loader.ErrInvalid))
+			is.True(!strings.Contains(err.Error(), "secret"))
+		})
+	}
+}
--- a/core/presenter/presenter.go
+++ b/core/presenter/presenter.go
@@ -34,7 +34,19 @@
 	Routes   []Route   `json:"routes,omitempty"`
 	Bounds   *Bounds   `json:"bounds,omitempty"`
 	// Revision is the operator's own version number, or 0. A batch with a revision must be changed through the API that set it.
-	Revision uint64 `json:"revision,omitempty"`
+	Revision uint64   `json:"revision,omitempty"`
+	Tenants  []Tenant `json:"tenants,omitempty"`
+	// Auth is true if calls on routes that are not public need a key.
+	Auth bool `json:"auth,omitempty"`
+}
+
+// Tenant is a tenant of a batch. Keys are never shown.
+type Tenant struct {
+	Name  string  `json:"name"`
+	Keys  int     `json:"keys"` // number of keys
+	Rank  *int    `json:"rank,omitempty"`
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
 }
 
 // Route is a route of a batch.
@@ -48,6 +60,7 @@
 	Target   string         `json:"target"`
 	Rank     int            `json:"rank"`
 	Attempts int            `json:"attempts"`
+	Public   bool           `json:"public,omitempty"`
 }
 
 // Bounds holds the limits on requests from callers of the routes of a batch.
--- a/daemon/courier/names.go
+++ b/daemon/courier/names.go
@@ -9,12 +9,13 @@
 	NotRun    string // set on the response of an upstream that did not run the call
 	Signature string // set on every successful response of an upstream
 	Caller    string // service of the VM on which the call originated
+	Tenant    string // name of the tenant whose key the caller sent
 }
 
 // DefaultHeaderNames returns the header names of the product's own interface.
 func DefaultHeaderNames() HeaderNames {
 	return HeaderNames{
 		Attempt: "Bluebell-Attempt", Deadline: "Bluebell-Deadline", Target: "Bluebell-Target", NotRun: "Bluebell-Not-Run",
-		Caller: "Bluebell-Caller",
+		Caller: "Bluebell-Caller", Tenant: "Bluebell-Tenant",
 	}
 }
--- a/daemon/runner/settings.go
+++ b/daemon/runner/settings.go
@@ -34,6 +34,7 @@
 	Budget         Budget                  `json:"budget"`  // optional
 	Grace          loader.Duration         `json:"grace"`   // time allowed for a planned stop; optional
 	ReportInterval loader.Duration         `json:"beat"`    // interval of the upstream's reports; optional
+	Revoke         loader.Duration         `json:"revoke"`  // maximum age of the proof that calls with a key need; 0 if they need none
 	Metrics        netip.AddrPort          `json:"metrics"` // additional address for the metrics; optional
 }
 
@@ -93,8 +94,8 @@
 		return fmt.Errorf("%w: controllers and seeds are both empty", errSettings)
 	case s.Budget.Ratio < 0 || s.Budget.Slack < 0 || s.Budget.Window < 0 || s.Budget.Shares < 0:
 		return fmt.Errorf("%w: budget must not be negative", errSettings)
-	case s.Grace < 0 || s.ReportInterval < 0:
-		return fmt.Errorf("%w: grace and beat must not be negative", errSettings)
+	case s.Grace < 0 || s.ReportInterval < 0 || s.Revoke < 0:
+		return fmt.Errorf("%w: grace, beat and revoke must not be negative", errSettings)
 	case hclog.LevelFromString(s.Level) == hclog.NoLevel:
 		return fmt.Errorf("%w: level %q is unknown", errSettings, s.Level)
 	}
