Announcer: a leave without a number keeps the number of an earlier one

Cause: every leave replaced the last leave's number. After a leave without one, any announcement counted as later, so that one sent before the numbered leave made the upstream ready again. Change: only numbered leaves are remembered. Result: TestUnnumberedLeave, which failed before (204 instead of 409).

--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -40,7 +40,7 @@
 	lastSeen      time.Time
 	startedAt     int64
 	lastReport    reportID // last report of the upstream that was not stale
-	lastLeave     sequence // sequence number of the last leave
+	lastLeave     sequence // sequence number of the last numbered leave
 	pendingLeaves int      // leaves that wait for in-flight calls
 	stopping      bool
 }
@@ -181,7 +181,9 @@
 func (a *Announcer) leave(ctx context.Context, n sequence) error {
 	a.mu.Lock()
 	a.pendingLeaves++
-	a.lastLeave = n
+	if n.seq != 0 {
+		a.lastLeave = n
+	}
 	a.withdraw()
 	a.mu.Unlock()
 	err := a.drain(ctx)
--- a/daemon/announcer/announcer_test.go
+++ b/daemon/announcer/announcer_test.go
@@ -270,3 +270,20 @@
 		is.New(t).Equal(w.Code, http.StatusBadRequest)
 	})
 }
+
+// TestUnnumberedLeave guards against a leave without a number that makes the daemon forget the number of an earlier one, so
+// that a late announcement is accepted.
+func TestUnnumberedLeave(t *testing.T) {
+	const format = `{"service": "payout", "address": "127.0.0.1:9000", "slots": 2, "conns": 4, "start": 1000, "seq": %d}`
+	is := is.New(t)
+	f := newFixture()
+	close(f.callsDone)
+	is.Equal(f.put(fmt.Sprintf(format, 5)), http.StatusNoContent)
+	for _, path := range []string{"/v1/upstream?start=1000&seq=7", "/v1/upstream"} {
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, httptest.NewRequest(http.MethodDelete, path, nil))
+		is.Equal(w.Code, http.StatusNoContent)
+	}
+	is.Equal(f.put(fmt.Sprintf(format, 6)), http.StatusConflict)
+	is.True(!f.memberEntry().Ready)
+}
