Gossiper: queue a leave that arrives by an exchange

Cause: newer incarnations from an exchange within the failure domain are not queued, since other members get them from their own exchanges. That holds for leaves too, and exchanges are up to 30 s apart, while the others keep sending calls. Change: a leave is queued however it arrives. Result: TestLeaveByExchange; without the change a member does not know of the leave after 3 s.

--- a/core/gossiper/failure_test.go
+++ b/core/gossiper/failure_test.go
@@ -193,3 +193,17 @@
 		}
 	})
 }
+
+// TestLeaveByExchange guards against a leave that only the partner of an exchange hears of, while the other members of the
+// failure domain keep sending calls.
+func TestLeaveByExchange(t *testing.T) {
+	newNetwork(t, 27, 0, 1).runMesh(8, func(n *network, nodes []*node) {
+		n.breakExchanges()
+		time.Sleep(time.Minute) // no member queues the entry any more
+		left := lookup(nodes[0], nodes[7].name)
+		n.kill(nodes[7])
+		left.State, left.Ready, left.Incarnation = wire.Left, false, left.Incarnation+1
+		nodes[0].HandleExchange(wire.Gossip{Kind: "sync", From: nodes[1].name, Members: []wire.Member{left}})
+		n.waitUntil(3*time.Second, "leave known", func(x *node) bool { return lookup(x, left.Name).State == wire.Left })
+	})
+}
--- a/core/gossiper/merge.go
+++ b/core/gossiper/merge.go
@@ -90,7 +90,12 @@
 		g.log.Info("member changed state", "member", m.Name, "from", e.State, "to", m.State)
 	}
 	g.store(e, m, res.now)
-	if m.State != wire.Dead {
+	switch m.State {
+	case wire.Dead:
+	case wire.Left:
+		res.changed++
+		g.queue.add(m.Name)
+	default:
 		g.queueChange(m.Name, res)
 	}
 }
