Keep an acknowledged leave across a restart of the daemon

Cause: only the daemon's process knew that its upstream had left. Change: the leave (hash of the id, born, sequence number) is part of the daemon's gossip entry. Members keep the latest one whatever the incarnation. A leave is acknowledged once a majority of the seeds holds it. Report takes a context, so its callers in the tests pass one. TestMember encodes the member in a message, since the departure is encoded there.

--- a/core/exchanger/join.go
+++ b/core/exchanger/join.go
@@ -19,7 +19,8 @@
 
 // Join opens the UDP socket of a member and returns its transport and its gossiper, connected to each other. The caller
 // must run both.
-func Join(self wire.Member, sockets SocketConfig, seeds []netip.AddrPort, log hclog.Logger) (*Exchanger, *gossiper.Gossiper, error) {
+func Join(self wire.Member, sockets SocketConfig, seeds []netip.AddrPort, log hclog.Logger,
+	opts ...gossiper.Option) (*Exchanger, *gossiper.Gossiper, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(sockets.Bind))
 	if err != nil {
 		return nil, nil, err
@@ -32,12 +33,12 @@
 		WithReply(func(msg wire.Gossip) wire.Gossip { return g.HandleExchange(msg) }),
 		WithLogger(log.Named("exchanger")),
 	)
-	g = gossiper.New(
+	g = gossiper.New(append([]gossiper.Option{
 		gossiper.WithSelf(self),
 		gossiper.WithSeeds(seeds),
 		gossiper.WithSend(e.Send),
 		gossiper.WithExchange(e.Exchange),
 		gossiper.WithLogger(log.Named("gossiper")),
-	)
+	}, opts...)...)
 	return e, g, nil
 }
--- a/core/gossiper/checksums.go
+++ b/core/gossiper/checksums.go
@@ -24,13 +24,21 @@
 	case wire.Suspect:
 		m.State = wire.Alive
 	case wire.Dead, wire.Left:
-		m = wire.Member{Name: m.Name, State: m.State}
+		m = wire.Member{Name: m.Name, State: m.State, Gone: m.Gone}
 	}
 	data, err := encoder.Marshal(m)
 	if err != nil {
 		return 0
 	}
-	return uint32(xxhash.Sum64(data))
+	checksum := uint32(xxhash.Sum64(data))
+	if m.Gone.IsZero() {
+		return checksum
+	}
+	gone, err := encoder.Marshal(m.Gone) // the encoding of a member does not include it
+	if err != nil {
+		return 0
+	}
+	return checksum ^ uint32(xxhash.Sum64(gone))
 }
 
 // bucketCount returns the number of buckets, a power of two, for n entries.
@@ -82,7 +90,8 @@
 			continue
 		}
 		m, ok := known[e.Name]
-		newer := e.Incarnation > m.Incarnation || e.Incarnation == m.Incarnation && statePrecedence[e.State] > statePrecedence[m.State]
+		newer := e.Incarnation > m.Incarnation || e.Gone.After(m.Gone) ||
+			e.Incarnation == m.Incarnation && statePrecedence[e.State] > statePrecedence[m.State]
 		if ok && newer || !ok && e.reachable() {
 			members = append(members, e.Member)
 		}
--- a/core/gossiper/datagram.go
+++ b/core/gossiper/datagram.go
@@ -15,7 +15,7 @@
 
 const (
 	checksumSize         = 4
-	memberListHeaderSize = 12 // encoded size of the key and array header of the member list
+	memberListHeaderSize = 20 // encoded size of the keys and array headers of the member list and of the departures
 	maxNameLength        = 64
 	maxIncarnation       = 1 << 62 // leaves headroom for increments by refutations
 )
@@ -61,10 +61,15 @@
 		return false
 	}
 	return m.Name != "" && len(m.Name) <= maxNameLength && len(m.Domain) <= maxNameLength && len(m.Service) <= maxNameLength &&
-		m.Addr.IsValid() && m.Addr.Port() != 0 && m.Incarnation > 0 && m.Incarnation < maxIncarnation && m.Slots >= 0
+		m.Addr.IsValid() && m.Addr.Port() != 0 && m.Incarnation > 0 && m.Incarnation < maxIncarnation && m.Slots >= 0 && m.Gone.Start >= 0
 }
 
-// encodedSize returns the encoded size of an entry or message in bytes.
+// entrySize returns the number of bytes that an entry takes in a datagram.
+func entrySize(m wire.Member) int {
+	return encodedSize(m) + wire.DepartureSize(m.Gone)
+}
+
+// encodedSize returns the encoded size of a member or message in bytes.
 func encodedSize(v any) int {
 	data, err := encoder.Marshal(v)
 	if err != nil {
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -54,6 +54,7 @@
 type Gossiper struct {
 	send          func(netip.AddrPort, []byte) error
 	exchange      func(context.Context, netip.AddrPort, wire.Gossip) (wire.Gossip, error)
+	departed      func(wire.Departure)
 	seeds         []netip.AddrPort
 	deadRetention time.Duration
 	leftRetention time.Duration
@@ -65,6 +66,8 @@
 	wake    chan struct{}
 	done    chan struct{}
 
+	recovered chan struct{} // closed once the members that remember a departure have answered
+
 	mu      sync.Mutex
 	actions []func()
 
@@ -96,6 +99,7 @@
 	rejoinAddrs      []netip.AddrPort // addresses of members removed after a long stall, used like seeds
 	recoveredPeer    netip.AddrPort   // member of another failure domain that was dead here and has sent a message since
 	pendingLeave     *leaveRequest
+	rounds           []*round // rounds of pings that have not ended
 }
 
 type datagram struct {
@@ -117,6 +121,9 @@
 		wake:  make(chan struct{}, 1),
 		done:  make(chan struct{}),
 
+		departed:  func(wire.Departure) {},
+		recovered: make(chan struct{}),
+
 		self:         &entry{},
 		table:        newTable(),
 		queue:        newUpdateQueue(),
--- a/core/gossiper/merge.go
+++ b/core/gossiper/merge.go
@@ -23,8 +23,8 @@
 }
 
 // merge applies the entries of a message. New members and newer incarnations from an exchange within the own failure domain
-// are not queued, since the other members of the domain learn them from their own exchanges. Suspicions and leaves within a
-// known incarnation are always queued.
+// are not queued, since the other members of the domain learn them from their own exchanges. Leaves, and suspicions
+// within a known incarnation, are always queued.
 func (g *Gossiper) merge(msg wire.Gossip, now time.Time) mergeResult {
 	res := mergeResult{now: now, from: msg.From, fromDomainExchange: msg.Kind == kindSync && g.isDomainMember(msg.From)}
 	for _, m := range msg.Members {
@@ -33,6 +33,9 @@
 		}
 		m.Addr = netip.AddrPortFrom(m.Addr.Addr().Unmap(), m.Addr.Port())
 		e, ok := g.table.byName[m.Name]
+		if ok {
+			m.Gone = g.mergeDeparture(e, m, &res)
+		}
 		switch {
 		case !ok:
 			g.insert(m, &res)
@@ -45,17 +48,48 @@
 			g.applyHigherState(e, m, &res)
 		case m.Name == msg.From && (m.Incarnation < e.Incarnation || m.State != e.State):
 			res.senderOutdated = true
-			res.staleAtSender = append(res.staleAtSender, e)
+			res.addStale(e)
 		case m.Incarnation < e.Incarnation && e.State == wire.Alive && m.State != wire.Alive && !g.queue.has(e.Name):
 			g.queue.add(e.Name) // the sender has missed a refutation
 			if !g.isDomainMember(msg.From) {
-				res.staleAtSender = append(res.staleAtSender, e) // queued updates do not reach other failure domains
+				res.addStale(e) // queued updates do not reach other failure domains
 			}
 		}
 	}
 	return res
 }
 
+// mergeDeparture returns the later departure of a known entry and a received one, and stores it. It does not depend on the
+// incarnations, since a restarted member does not know the departure and has a new incarnation.
+func (g *Gossiper) mergeDeparture(e *entry, m wire.Member, res *mergeResult) wire.Departure {
+	switch {
+	case e.Gone.After(m.Gone):
+		if m.Name == res.from {
+			res.addStale(e)
+		}
+		return e.Gone
+	case m.Gone.After(e.Gone):
+		changed := e.Member
+		changed.Gone = m.Gone
+		g.store(e, changed, res.now)
+		if e != g.self {
+			g.queue.add(e.Name)
+			break
+		}
+		g.log.Info("departure recovered", "start", m.Gone.Start, "seq", m.Gone.Seq)
+		g.queueSelf()
+		g.departed(m.Gone)
+	}
+	return m.Gone
+}
+
+// addStale records that the sender has an older version of an entry.
+func (r *mergeResult) addStale(e *entry) {
+	if !slices.Contains(r.staleAtSender, e) {
+		r.staleAtSender = append(r.staleAtSender, e)
+	}
+}
+
 // insert adds an unknown member. It ignores dead and left members: they may have expired here and must not reappear.
 func (g *Gossiper) insert(m wire.Member, res *mergeResult) {
 	if m.State == wire.Dead || m.State == wire.Left {
@@ -153,7 +187,7 @@
 	for _, e := range entries[:min(len(entries), maxRefutationRequests)] {
 		suspicion := *e
 		suspicion.State = wire.Suspect
-		suspicion.encodedSize = encodedSize(suspicion.Member)
+		suspicion.encodedSize = entrySize(suspicion.Member)
 		g.sendTo(e.target(), wire.Gossip{Kind: kindPush}, &suspicion)
 		if !slices.Contains(g.priorityProbes, e.Name) {
 			g.priorityProbes = append(g.priorityProbes, e.Name)
--- a/core/gossiper/options.go
+++ b/core/gossiper/options.go
@@ -34,6 +34,12 @@
 	return func(g *Gossiper) { g.exchange = exchange }
 }
 
+// WithDeparted sets the function that receives a departure of the own entry that other members remember and this one did not
+// know. It must not block.
+func WithDeparted(departed func(wire.Departure)) Option {
+	return func(g *Gossiper) { g.departed = departed }
+}
+
 // WithRandom sets the random source. Only the goroutine of Run uses it.
 func WithRandom(r *rand.Rand) Option {
 	return func(g *Gossiper) { g.rand = r }
--- a/core/gossiper/probe.go
+++ b/core/gossiper/probe.go
@@ -68,6 +68,7 @@
 	if g.pendingLeave != nil {
 		g.pendingLeave.recordAck(d.msg)
 	}
+	g.recordRoundAck(d.msg)
 }
 
 func (g *Gossiper) handleRelay(d datagram, now time.Time) {
--- a/core/gossiper/run.go
+++ b/core/gossiper/run.go
@@ -31,6 +31,7 @@
 	g.nextExchange = now.Add(g.exchangeInterval + g.jitter(minExchangeInterval))
 	g.joinBackoff = tickInterval
 	g.tryJoin(ctx, now, exchangeDone)
+	g.startRecovery()
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,6 +83,7 @@
 		g.reconnect()
 	}
 	g.announceLeave()
+	g.continueRounds()
 	g.push()
 	g.pushToOtherDomains()
 }
@@ -173,11 +175,14 @@
 	g.publishPending = true
 }
 
-// update applies a change to the own entry and spreads it.
+// update applies a change to the own entry and spreads it. A departure is only replaced by a later one.
 func (g *Gossiper) update(change func(*wire.Member)) {
 	m := g.self.Member
 	change(&m)
 	m.Name, m.Incarnation, m.State = g.self.Name, g.self.Incarnation, g.self.State
+	if g.self.Gone.After(m.Gone) {
+		m.Gone = g.self.Gone
+	}
 	if m == g.self.Member {
 		return
 	}
--- a/core/gossiper/table.go
+++ b/core/gossiper/table.go
@@ -30,7 +30,7 @@
 
 // updateDerived recomputes the values derived from the member.
 func (e *entry) updateDerived() {
-	e.encodedSize = encodedSize(e.Member)
+	e.encodedSize = entrySize(e.Member)
 	e.nameHash = xxhash.Sum64String(e.Name)
 	e.checksum = entryChecksum(e.Member)
 }
--- a/core/wire/member_test.go
+++ b/core/wire/member_test.go
@@ -11,8 +11,8 @@
 	"bluebellhoist/core/wire"
 )
 
-// TestMember guards against a field that is added to the schema but not to the encoding of a member, which is written by
-// hand.
+// TestMember guards against a field that is added to the schema but not to the encoding of the members of a message, which is
+// written by hand.
 func TestMember(t *testing.T) {
 	is := is.New(t)
 	var m wire.Member
@@ -29,14 +29,16 @@
 			f.SetUint(uint64(i + 1))
 		case netip.AddrPort:
 			f.Set(reflect.ValueOf(netip.MustParseAddrPort("10.1.0.38:7380")))
+		case wire.Departure:
+			f.Set(reflect.ValueOf(wire.Departure{Upstream: 7, Start: 8, Seq: 9}))
 		default:
 			t.Fatalf("test has no value for a field of type %s", f.Type())
 		}
 		is.True(!v.Field(i).IsZero())
 	}
-	data, err := cbor.Marshal(m)
+	data, err := cbor.Marshal(wire.Gossip{Members: []wire.Member{{Name: "other"}, m}})
 	is.NoErr(err)
-	var got wire.Member
+	var got wire.Gossip
 	is.NoErr(cbor.Unmarshal(data, &got))
-	is.Equal(got, m)
+	is.Equal(got.Members, []wire.Member{{Name: "other"}, m})
 }
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -189,6 +189,20 @@
 	Version uint64 `json:"version"`
 }
 
+// Departure identifies the reports of an upstream that a leave has made out of
+// date. The zero value means that no upstream has left.
+type Departure struct {
+	// Sequence number of its last report that is out of date; the maximum if all are.
+	Seq uint64 `json:"seq"`
+
+	// Start time of its process, in milliseconds since the Unix epoch; 0 if not
+	// announced.
+	Start int64 `json:"start"`
+
+	// Hash of the upstream's id; 0 if it has none.
+	Upstream uint64 `json:"upstream"`
+}
+
 // Edit replaces or drops one batch within a change.
 type Edit struct {
 	// Batch version that the edit is based on; 0 for a new batch.
@@ -388,6 +402,9 @@
 	// Failure domain of the daemon.
 	Domain string `json:"domain"`
 
+	// Gone corresponds to the JSON schema field "gone".
+	Gone Departure `json:"gone"`
+
 	// Incarnation number; the entry with the higher one wins.
 	Incarnation uint64 `json:"inc"`
 
--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 // Announcer holds the current announcement of the local upstream and reflects it in the daemon's member entry.
 type Announcer struct {
 	updateMember func(func(*wire.Member))
+	confirm      func(context.Context) error
+	recovered    <-chan struct{} // nil if nothing is recovered
 	drain        func(context.Context) error
 	lifetime     time.Duration
 	log          hclog.Logger
@@ -37,11 +40,15 @@
 
 	mu            sync.Mutex // serializes announcements, leaves and expiries, each with its member update
 	current       *wire.Upstream
+	currentSeq    uint64 // sequence number of the last announcement of the current upstream
 	lastSeen      time.Time
 	startedAt     int64
-	lastReport    reportID // last report of the upstream that was not stale
-	lastLeave     sequence // sequence number of the last numbered leave
-	pendingLeaves int      // leaves that wait for in-flight calls
+	lastReport    reportID       // last report of the upstream that was not stale
+	departed      wire.Departure // last leave, as the other members hold it
+	confirmed     wire.Departure // last departure that other members are known to hold
+	undated       undatedLeave   // last final leave of an upstream whose start time was unknown
+	held          *heldUpstream  // announced before the departure was recovered
+	pendingLeaves int            // leaves that wait for in-flight calls
 	stopping      bool
 }
 
@@ -53,6 +60,18 @@
 	return func(a *Announcer) { a.updateMember = update }
 }
 
+// WithConfirm sets the function that returns once other members hold the daemon's member entry, so that a leave can be
+// acknowledged.
+func WithConfirm(confirm func(context.Context) error) Option {
+	return func(a *Announcer) { a.confirm = confirm }
+}
+
+// WithRecovered sets a channel that is closed once Restore has been called if other members remember a departure. Until then
+// no upstream is announced.
+func WithRecovered(recovered <-chan struct{}) Option {
+	return func(a *Announcer) { a.recovered = recovered }
+}
+
 // WithDrain sets the function that waits until no call to the upstream is in flight.
 func WithDrain(drain func(context.Context) error) Option {
 	return func(a *Announcer) { a.drain = drain }
@@ -72,6 +91,7 @@
 func New(opts ...Option) *Announcer {
 	a := &Announcer{
 		updateMember: func(func(*wire.Member)) {},
+		confirm:      func(context.Context) error { return nil },
 		drain:        func(context.Context) error { return nil },
 		lifetime:     DefaultLifetime,
 		log:          hclog.NewNullLogger(),
@@ -82,14 +102,19 @@
 	return a
 }
 
-// Run withdraws the announcement when it is not repeated in time, until ctx ends.
+// Run announces what was held back until the departure was recovered, and withdraws the announcement when it is not repeated
+// in time, until ctx ends.
 func (a *Announcer) Run(ctx context.Context) error {
 	ticker := time.NewTicker(expiryCheckInterval)
 	defer ticker.Stop()
+	recovered := a.recovered
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-recovered:
+			recovered = nil
+			a.announceHeld()
 		case <-ticker.C:
 			a.expire(time.Now())
 		}
@@ -113,33 +138,25 @@
 	a.withdraw()
 }
 
-// sequence orders the announcements and leaves of an upstream, also across restarts of its process.
+// sequence is the place of a message among those of an upstream, also across restarts of its process.
 type sequence struct {
 	start int64
 	seq   uint64 // 0 if not numbered
 }
 
-// after reports whether a message was sent after another one. If either is not numbered, it reports true.
-func (n sequence) after(other sequence) bool {
-	if n.seq == 0 || other.seq == 0 {
-		return true
-	}
-	return n.start > other.start || n.start == other.start && n.seq > other.seq
-}
-
 // announce applies an announcement from the API unless a later leave has arrived before it.
 func (a *Announcer) announce(u wire.Upstream, seq uint64, now time.Time) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	// A daemon whose process was paused may handle an announcement after the leave that was sent later.
-	if !(sequence{u.Start, seq}).after(a.lastLeave) {
+	if a.departed.Covers(u.ID, u.Start, seq) {
 		return ErrStale
 	}
-	return a.accept(u, now)
+	return a.accept(u, seq, now)
 }
 
 // accept applies a valid announcement. The caller holds the lock.
-func (a *Announcer) accept(u wire.Upstream, now time.Time) error {
+func (a *Announcer) accept(u wire.Upstream, seq uint64, now time.Time) error {
 	if a.stopping {
 		return ErrStopping
 	}
@@ -147,10 +164,14 @@
 	if a.pendingLeaves > 0 {
 		return ErrLeaving
 	}
+	if !a.isRecovered() {
+		a.held = &heldUpstream{u, seq, now}
+		return nil
+	}
 	if a.current != nil && now.Sub(a.lastSeen) >= a.lifetime {
 		a.withdraw()
 	}
-	a.lastSeen = now
+	a.lastSeen, a.currentSeq = now, seq
 	if a.current != nil && *a.current == u {
 		return nil
 	}
@@ -177,20 +198,25 @@
 	return max(now.UnixMilli(), a.startedAt+1)
 }
 
-// leave withdraws the upstream and waits until its in-flight calls have ended. Until then announcements are refused.
+// leave withdraws the upstream and waits until its in-flight calls have ended and other members know of the leave. Until
+// then announcements are refused.
 func (a *Announcer) leave(ctx context.Context, n sequence) error {
 	a.mu.Lock()
-	a.pendingLeaves++
 	if n.seq != 0 {
-		a.lastLeave = n
+		a.depart(wire.Departure{Upstream: wire.HashUpstream(a.announcedID()), Start: n.start, Seq: n.seq})
 	}
+	a.pendingLeaves++
+	a.held = nil
 	a.withdraw()
 	a.mu.Unlock()
 	err := a.drain(ctx)
 	a.mu.Lock()
 	a.pendingLeaves--
 	a.mu.Unlock()
-	return err
+	if err != nil {
+		return fmt.Errorf("calls are still in progress: %w", err)
+	}
+	return a.confirmDeparture(ctx)
 }
 
 // expire withdraws the announcement if its lifetime has passed.
--- a/daemon/announcer/api.go
+++ b/daemon/announcer/api.go
@@ -77,7 +77,7 @@
 		return c.JSON(http.StatusBadRequest, errorResponse{"start and seq must be numbers: " + err.Error()})
 	}
 	if err := a.leave(c.Request().Context(), n); err != nil {
-		return c.JSON(http.StatusServiceUnavailable, errorResponse{"calls are still in progress: " + err.Error()})
+		return c.JSON(http.StatusServiceUnavailable, errorResponse{err.Error()})
 	}
 	return c.NoContent(http.StatusNoContent)
 }
--- /dev/null
+++ b/daemon/announcer/departure_test.go
@@ -0,0 +1,177 @@
+package announcer_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/announcer"
+)
+
+// departed returns the departure of an upstream of which all reports are out of date.
+func departed(id string, start int64) wire.Departure {
+	return wire.Departure{Upstream: wire.HashUpstream(id), Start: start, Seq: wire.FinalSeq}
+}
+
+// requireReady fails the test if another upstream than the given one is announced; an empty id stands for none.
+func requireReady(t *testing.T, a *announcer.Announcer, id string) {
+	t.Helper()
+	u, _ := a.Upstream()
+	is.New(t).Equal(u.ID, id)
+}
+
+// memberOf returns an announcer with the options and the member entry that it changes. The entry is not synchronized.
+func memberOf(opts ...announcer.Option) (*announcer.Announcer, *wire.Member) {
+	var m wire.Member
+	update := func(change func(*wire.Member)) { change(&m) }
+	return announcer.New(append([]announcer.Option{announcer.WithMemberUpdate(update)}, opts...)...), &m
+}
+
+// TestRecovery guards against a restarted daemon that announces an upstream which had left, and against one that holds back
+// an upstream which had not.
+func TestRecovery(t *testing.T) {
+	cases := []struct {
+		name     string
+		restored wire.Departure
+		report   announcer.Report
+		want     string
+	}{
+		{"nothing had left", wire.Departure{}, newReport("i", 10, 4, false), "i"},
+		{"deregistered", departed("i", 10), newReport("i", 10, 4, false), ""},
+		{"drained, late report", wire.Departure{Upstream: wire.HashUpstream("i"), Start: 10, Seq: 5}, newReport("i", 10, 4, false), ""},
+		{"drained, ready again", wire.Departure{Upstream: wire.HashUpstream("i"), Start: 10, Seq: 5}, newReport("i", 10, 6, false), "i"},
+		{"later process", departed("i", 10), newReport("i", 11, 1, false), "i"},
+		{"another upstream, earlier", departed("i", 10), newReport("h", 9, 99, false), ""},
+		{"another upstream, later", departed("i", 10), newReport("j", 11, 1, false), "j"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				recovered := make(chan struct{})
+				a, _ := memberOf(announcer.WithRecovered(recovered))
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error)
+				go func() { ended <- a.Run(ctx) }()
+				is.NoErr(a.Report(ctx, c.report))
+				synctest.Wait()
+				requireReady(t, a, "") // nothing is announced before the departure is known
+				a.Restore(c.restored)
+				close(recovered)
+				synctest.Wait()
+				requireReady(t, a, c.want)
+				cancel()
+				<-ended
+			})
+		})
+		t.Run(c.name+", restored late", func(t *testing.T) {
+			a, _ := memberOf()
+			is.New(t).NoErr(a.Report(t.Context(), c.report))
+			requireReady(t, a, c.report.Upstream.ID)
+			a.Restore(c.restored)
+			requireReady(t, a, c.want)
+		})
+	}
+}
+
+// TestHeldLeave guards against an announcement that was held back during the recovery and takes effect after a leave.
+func TestHeldLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		recovered := make(chan struct{})
+		a, m := memberOf(announcer.WithRecovered(recovered))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- a.Run(ctx) }()
+		is.NoErr(a.Report(ctx, newReport("i", 10, 4, false)))
+		is.NoErr(a.Report(ctx, announcer.Report{Upstream: wire.Upstream{ID: "i"}, Leaving: true, Final: true}))
+		close(recovered)
+		synctest.Wait()
+		requireReady(t, a, "")
+		is.Equal(m.Gone, departed("i", 10))
+		cancel()
+		<-ended
+	})
+}
+
+// TestDeparture guards against a leave of which other members do not hear, or of which they hear the wrong process.
+func TestDeparture(t *testing.T) {
+	ready, draining := newReport("i", 10, 4, false), newReport("i", 10, 6, true)
+	gone := announcer.Report{Upstream: wire.Upstream{ID: "i", Start: 10}, Leaving: true, Final: true}
+	undated := announcer.Report{Upstream: wire.Upstream{ID: "i"}, Leaving: true, Final: true}
+	cases := []struct {
+		name    string
+		reports []announcer.Report
+		want    wire.Departure
+	}{
+		{"none", []announcer.Report{ready}, wire.Departure{}},
+		{"draining", []announcer.Report{ready, draining}, wire.Departure{Upstream: wire.HashUpstream("i"), Start: 10, Seq: 6}},
+		{"still draining", []announcer.Report{ready, draining, newReport("i", 10, 7, true)}, wire.Departure{Upstream: wire.HashUpstream("i"), Start: 10, Seq: 6}},
+		{"draining, one report lost", []announcer.Report{ready, draining, newReport("i", 10, 8, true)}, wire.Departure{Upstream: wire.HashUpstream("i"), Start: 10, Seq: 8}},
+		{"drained and deregistered", []announcer.Report{ready, draining, gone}, departed("i", 10)},
+		{"no start time", []announcer.Report{ready, undated}, departed("i", 10)},
+		{"daemon restarted before", []announcer.Report{gone}, departed("i", 10)},
+		{"daemon restarted before, no start time", []announcer.Report{undated}, wire.Departure{}},
+		{"before a later process", []announcer.Report{gone, newReport("i", 20, 1, false)}, departed("i", 10)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, m := memberOf()
+			for _, r := range c.reports {
+				is.New(t).NoErr(a.Report(t.Context(), r))
+			}
+			is.New(t).Equal(m.Gone, c.want)
+		})
+	}
+}
+
+// TestConfirmation guards against a leave that is acknowledged although only this process knows of it.
+func TestConfirmation(t *testing.T) {
+	confirmations, reachable := 0, false
+	a, _ := memberOf(announcer.WithConfirm(func(context.Context) error {
+		confirmations++
+		if !reachable {
+			return errors.New("nobody answers")
+		}
+		return nil
+	}))
+	is := is.New(t)
+	is.NoErr(a.Report(t.Context(), newReport("i", 10, 4, false)))
+	is.Equal(confirmations, 0)
+	gone := announcer.Report{Upstream: wire.Upstream{ID: "i", Start: 10}, Leaving: true, Final: true}
+	is.True(errors.Is(a.Report(t.Context(), gone), announcer.ErrUnconfirmed))
+	requireReady(t, a, "") // it takes effect here
+	is.True(errors.Is(a.Report(t.Context(), gone), announcer.ErrUnconfirmed))
+	reachable = true
+	is.True(errors.Is(a.Report(t.Context(), gone), announcer.ErrStale)) // repeated, and now confirmed
+	is.Equal(confirmations, 3)
+	is.True(errors.Is(a.Report(t.Context(), gone), announcer.ErrStale))
+	is.Equal(confirmations, 3)
+}
+
+// TestUndatedLeave guards against late reports of an upstream that left without a start time at a daemon that did not know
+// it, and against refusing its next process.
+func TestUndatedLeave(t *testing.T) {
+	is := is.New(t)
+	a, _ := memberOf()
+	now := time.Now().UnixMilli()
+	is.NoErr(a.Report(t.Context(), announcer.Report{Upstream: wire.Upstream{ID: "i"}, Leaving: true, Final: true}))
+	is.True(errors.Is(a.Report(t.Context(), newReport("i", now-1000, 9, false)), announcer.ErrStale))
+	is.NoErr(a.Report(t.Context(), newReport("i", now+60_000, 1, false)))
+	requireReady(t, a, "i")
+}
+
+// TestLeaveOfAnother guards against the leave of another upstream after which late reports of the announced one are accepted.
+func TestLeaveOfAnother(t *testing.T) {
+	is := is.New(t)
+	a, _ := memberOf()
+	is.NoErr(a.Report(t.Context(), newReport("j", 20, 5, false)))
+	is.NoErr(a.Report(t.Context(), announcer.Report{Upstream: wire.Upstream{ID: "i"}, Leaving: true, Final: true}))
+	requireReady(t, a, "j")
+	is.True(errors.Is(a.Report(t.Context(), newReport("j", 20, 4, false)), announcer.ErrStale))
+}
--- a/daemon/announcer/report.go
+++ b/daemon/announcer/report.go
@@ -1,6 +1,7 @@
 package announcer
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -20,33 +21,114 @@
 
 // reportID identifies a report and orders it among the reports of the upstream.
 type reportID struct {
-	id    string
-	start int64
-	seq   uint64
-	final bool
+	id      string
+	start   int64
+	seq     uint64
+	leaving bool
+	final   bool
 }
 
-// Report applies a status report. After it returns, no new call is sent to an upstream that reported its leave.
-func (a *Announcer) Report(r Report) error {
+func newReportID(r Report) reportID {
+	return reportID{id: r.Upstream.ID, start: r.Upstream.Start, seq: max(r.Seq, 1), leaving: r.Leaving, final: r.Final}
+}
+
+// isSameProcess reports whether an upstream is the one that sent the report. An unknown start time equals any other.
+func (n reportID) isSameProcess(u wire.Upstream) bool {
+	return n.id == u.ID && (n.start == 0 || u.Start == 0 || n.start == u.Start)
+}
+
+// departure returns the departure of which a leave with this id informs.
+func (n reportID) departure() wire.Departure {
+	d := wire.Departure{Upstream: wire.HashUpstream(n.id), Start: n.start, Seq: n.seq}
+	if n.final {
+		d.Seq = wire.FinalSeq
+	}
+	return d
+}
+
+// Report applies a status report. After it returns without an error, no new call is sent to an upstream that reported its
+// leave, even if the daemon is restarted.
+func (a *Announcer) Report(ctx context.Context, r Report) error {
+	err := a.apply(r, time.Now())
+	if !r.Leaving || err != nil && !errors.Is(err, ErrStale) {
+		return err
+	}
+	// A repeated leave is stale, but the first one may not have been confirmed.
+	if unconfirmed := a.confirmDeparture(ctx); unconfirmed != nil {
+		return unconfirmed
+	}
+	return err
+}
+
+// apply applies a status report to the state of this daemon.
+func (a *Announcer) apply(r Report, now time.Time) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	last := a.lastReport
-	same := last.id == r.Upstream.ID && (last.start == 0 || r.Upstream.Start == 0 || last.start == r.Upstream.Start)
-	if same && (last.final || r.Seq != 0 && r.Seq <= last.seq) || !same && r.Upstream.Start != 0 && r.Upstream.Start < last.start {
-		return ErrStale
+	if r.Upstream.Start == 0 {
+		r.Upstream.Start = a.startOf(r.Upstream.ID)
 	}
-	if same && r.Upstream.Start == 0 {
-		r.Upstream.Start = last.start
+	if a.isStale(r) {
+		return ErrStale
 	}
-	a.lastReport = reportID{id: r.Upstream.ID, start: r.Upstream.Start, seq: max(r.Seq, 1), final: r.Final}
 	if r.Leaving {
-		if a.current != nil && a.current.ID == r.Upstream.ID {
-			a.log.Info("upstream leaves", "id", r.Upstream.ID, "seq", r.Seq, "final", r.Final)
-			a.withdraw()
-		}
+		a.applyLeave(r, now)
 		return nil
 	}
-	return a.accept(r.Upstream, time.Now())
+	a.lastReport = newReportID(r)
+	return a.accept(r.Upstream, r.Seq, now)
+}
+
+// startOf returns the start time of an upstream that a report does not state, or 0 if it is unknown.
+func (a *Announcer) startOf(id string) int64 {
+	switch {
+	case a.lastReport.id == id && a.lastReport.start != 0:
+		return a.lastReport.start
+	case a.current != nil && a.current.ID == id && a.current.Start != 0:
+		return a.current.Start
+	case a.departed.Upstream == wire.HashUpstream(id):
+		return a.departed.Start
+	}
+	return 0
+}
+
+// isStale reports whether a report was sent before one that has been applied, or before a leave.
+func (a *Announcer) isStale(r Report) bool {
+	u, last := r.Upstream, a.lastReport
+	seq := r.Seq
+	if r.Final {
+		seq = wire.FinalSeq
+	}
+	if a.departed.Covers(u.ID, u.Start, seq) || a.undated.covers(u) {
+		return true
+	}
+	if last.isSameProcess(u) {
+		return last.final || r.Seq != 0 && r.Seq <= last.seq
+	}
+	return u.Start != 0 && u.Start < last.start
+}
+
+// applyLeave withdraws the upstream and records its departure. The caller holds the lock.
+func (a *Announcer) applyLeave(r Report, now time.Time) {
+	u, last := r.Upstream, a.lastReport
+	if u.Start == 0 && last.id != u.ID && a.announcedID() != u.ID {
+		// Which process has left is unknown. Only those that have started by now can be the one.
+		a.log.Warn("leave of an unknown upstream without a start time", "id", u.ID)
+		a.undated = undatedLeave{u.ID, now.UnixMilli()}
+		return
+	}
+	a.lastReport = newReportID(r)
+	if a.held != nil && a.held.upstream.ID == u.ID {
+		a.held = nil
+	}
+	if a.current != nil && a.current.ID == u.ID {
+		a.log.Info("upstream leaves", "id", u.ID, "seq", r.Seq, "final", r.Final)
+		a.withdraw()
+	}
+	// A leave that directly follows another one makes no further reports out of date.
+	if last.leaving && last.isSameProcess(u) && r.Seq == last.seq+1 && !r.Final {
+		return
+	}
+	a.depart(a.lastReport.departure())
 }
 
 // MarkUnreachable withdraws an upstream that refuses connections until it is announced again.
--- a/daemon/runner/adapters.go
+++ b/daemon/runner/adapters.go
@@ -90,6 +90,11 @@
 	r.gossiper.Update(change)
 }
 
+// restoreDeparture passes on a departure that other members remember.
+func (r *Runner) restoreDeparture(d wire.Departure) {
+	r.announcer.Restore(d)
+}
+
 // slotLimit returns how many calls the upstream gets at once. The limit does not exceed the connections that the upstream
 // accepts, since further calls would hold a slot while they wait for a connection.
 func (r *Runner) slotLimit(announced int) int {
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -39,6 +39,8 @@
 	r.router = router.New(router.WithMembers(r.gossiper.Members), router.WithDomain(s.Domain))
 	r.announcer = announcer.New(
 		announcer.WithMemberUpdate(r.updateMember),
+		announcer.WithConfirm(r.gossiper.Confirm),
+		announcer.WithRecovered(r.gossiper.Recovered()),
 		announcer.WithDrain(r.drainUpstream),
 		announcer.WithLifetime(announcementLifetime(s)),
 		announcer.WithLogger(r.log.Named("announcer")),
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -103,7 +103,7 @@
 	self := wire.Member{Name: s.Name, Domain: s.Domain, Addr: s.Peers, State: wire.Alive}
 	sockets := exchanger.SocketConfig{Bind: s.bind(), Dial: connector.New(connector.WithSource(s.Bind.Addr())).DialContext}
 	var err error
-	if r.exchanger, r.gossiper, err = exchanger.Join(self, sockets, s.Seeds, log); err != nil {
+	if r.exchanger, r.gossiper, err = exchanger.Join(self, sockets, s.Seeds, log, gossiper.WithDeparted(r.restoreDeparture)); err != nil {
 		return nil, err
 	}
 	r.buildComponents(s)
@@ -128,11 +128,11 @@
 
 // Report applies a status report of the local upstream. If the report does not state how many connections the upstream
 // accepts, the number from the configuration is used.
-func (r *Runner) Report(report announcer.Report) error {
+func (r *Runner) Report(ctx context.Context, report announcer.Report) error {
 	if report.Upstream.Conns == 0 {
 		report.Upstream.Conns = r.upstreamConns(report.Upstream.Service)
 	}
-	return r.announcer.Report(report)
+	return r.announcer.Report(ctx, report)
 }
 
 // upstreamConns returns how many connections an upstream of the service accepts.
