Prove to daemons that their configuration is current

Cause: a daemon that is cut off or was stopped for a while serves calls by an old configuration and cannot notice that a key was removed.

Change: a heartbeat of a daemon may ask, with its boot-time clock, for a proof. The controller runs one linearizable read for all waiting asks, at most one at a time and one in 50 ms, sends the updates of its view and then a heartbeat that repeats the ask and names the newest version of the batch. The daemon holds a proof dated the ask if it has that version. The writer of a session never waits for the read. Daemons ask only if their settings call for proofs.

--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -39,6 +39,7 @@
 	referTo func(domain string) (netip.AddrPort, bool)
 	log     hclog.Logger
 	cache   frameCache
+	prover  *prover
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -54,7 +55,7 @@
 	return func(d *Distributor) { d.propose = propose }
 }
 
-// WithBarrier sets the linearizable read that precedes the first snapshot of a daemon that holds none.
+// WithBarrier sets the linearizable read that precedes the first snapshot of a daemon that holds none, and the proofs.
 func WithBarrier(barrier func(context.Context) error) Option {
 	return func(d *Distributor) { d.barrier = barrier }
 }
@@ -87,13 +88,20 @@
 		log:      hclog.NewNullLogger(),
 		sessions: map[*session]struct{}{},
 		drained:  make(chan struct{}),
+		prover:   newProver(),
 	}
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.prover.barrier = d.barrier
 	return d
 }
 
+// Run answers the asks of daemons for a proof until ctx ends.
+func (d *Distributor) Run(ctx context.Context) error {
+	return d.prover.run(ctx)
+}
+
 // ServeHTTP serves one daemon session until it ends.
 func (d *Distributor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, err := websocket.Accept(w, r, nil)
@@ -162,6 +170,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.sessions, s)
+	d.prover.forget(s)
 	if d.closing && len(d.sessions) == 0 {
 		close(d.drained)
 	}
--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -22,6 +22,7 @@
 	lastUpdate    atomic.Pointer[sentUpdate]
 	hellos        chan wire.Hello // from the reader to the writer
 	replies       chan wire.Frame // from the proposals to the writer
+	proofs        chan uint64     // asks that a linearizable read covers, from the prover to the writer; capacity 1
 	proposalSlots chan struct{}   // semaphore that bounds the proposals in flight
 	stopping      chan struct{}   // closed when the controller stops
 }
@@ -40,6 +41,7 @@
 		conn:          conn,
 		hellos:        make(chan wire.Hello),
 		replies:       make(chan wire.Frame),
+		proofs:        make(chan uint64, 1),
 		proposalSlots: make(chan struct{}, maxProposals),
 		stopping:      make(chan struct{}),
 	}
@@ -80,6 +82,10 @@
 		case frame.Ack != nil:
 			s.heldVersion.Store(frame.Ack.Version)
 			s.observeAck(frame.Ack.Version)
+		case frame.Heartbeat != nil:
+			if frame.Heartbeat.Ask != 0 {
+				s.distributor.prover.ask(s, frame.Heartbeat.Ask)
+			}
 		case frame.Claim != nil, frame.Release != nil, frame.Finish != nil:
 			select {
 			case s.proposalSlots <- struct{}{}:
@@ -146,6 +152,8 @@
 			}
 		case reply := <-s.replies:
 			err = s.conn.Send(ctx, reply)
+		case ask := <-s.proofs:
+			sent, err = s.sendProof(ctx, hello, sent, ask)
 		case <-heartbeats.C:
 			err = s.conn.Send(ctx, wire.Frame{Heartbeat: &wire.Heartbeat{Version: sent, Fresh: s.distributor.fresh()}})
 		case <-s.stopping:
@@ -211,6 +219,29 @@
 	return batch.Version, nil
 }
 
+// offerProof passes an ask that a linearizable read covers to the writer, in place of an earlier one that it has not sent. Only
+// the prover calls it. It does not block.
+func (s *session) offerProof(ask uint64) {
+	select {
+	case <-s.proofs:
+	default:
+	}
+	s.proofs <- ask
+}
+
+// sendProof answers an ask after the read that covers it: with the updates that the daemon lacks and then a heartbeat with the
+// newest version of the batch. It returns the version last sent.
+func (s *session) sendProof(ctx context.Context, hello wire.Hello, sent, ask uint64) (uint64, error) {
+	// The view must be read after the linearizable read and before the updates are sent, which then contain its versions.
+	newest, _ := s.distributor.view().Batch(hello.Batch)
+	sent, err := s.sendUpdate(ctx, hello, sent)
+	if err != nil {
+		return sent, err
+	}
+	heartbeat := &wire.Heartbeat{Version: sent, Fresh: s.distributor.fresh(), Ask: ask, Newest: newest.Version}
+	return sent, s.conn.Send(ctx, wire.Frame{Heartbeat: heartbeat})
+}
+
 // observeAck records the time from sending the last update to its acknowledgement.
 func (s *session) observeAck(version uint64) {
 	sent := s.lastUpdate.Load()
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -220,7 +220,7 @@
 
 // components returns the Run functions of the components.
 func (r *Runner) components() []func(context.Context) error {
-	all := []func(context.Context) error{r.messenger.Run, r.replicator.Run, r.expirer.Run}
+	all := []func(context.Context) error{r.messenger.Run, r.replicator.Run, r.expirer.Run, r.distributor.Run}
 	if r.gossiper != nil {
 		all = append(all, r.gossiper.Run, r.exchanger.Run)
 	}
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -361,9 +361,17 @@
 
 // Heartbeat is sent in both directions of a session.
 type Heartbeat struct {
+	// From a daemon: its clock at sending, in nanoseconds, to ask for a proof that
+	// its configuration is current; 0 if it does not ask. A controller repeats it.
+	Ask uint64 `json:"ask,omitempty,omitzero"`
+
 	// True if the controller recently heard from a leader that has a majority.
 	Fresh bool `json:"fresh"`
 
+	// From a controller: version of the batch after a linearizable read that began
+	// after the ask arrived. Set only with ask.
+	Newest uint64 `json:"newest,omitempty,omitzero"`
+
 	// From a controller: version last sent to the daemon. A daemon does not set it.
 	Version uint64 `json:"version"`
 }
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -127,6 +127,11 @@
 	if err := c.conn.Send(ctx, c.helloFrame(false)); err != nil {
 		return err
 	}
+	if c.subscriber.proofsNeeded() {
+		if err := c.conn.Send(ctx, c.subscriber.newHeartbeat()); err != nil {
+			return err
+		}
+	}
 	heartbeats := time.NewTicker(framer.HeartbeatInterval)
 	defer heartbeats.Stop()
 	for {
@@ -134,7 +139,7 @@
 		select {
 		case frame = <-c.outgoing:
 		case <-heartbeats.C:
-			frame = wire.Frame{Heartbeat: &wire.Heartbeat{}}
+			frame = c.subscriber.newHeartbeat()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -199,6 +204,7 @@
 // handleHeartbeat asks for a full snapshot if the controller has a newer version. It ends the session if the controller has
 // lacked a majority for StaleLimit, or if the daemon can fail back to a controller of its own failure domain.
 func (c *session) handleHeartbeat(ctx context.Context, heartbeat wire.Heartbeat) error {
+	c.subscriber.recordProof(heartbeat)
 	if inEffect := c.subscriber.Snapshot(); inEffect != nil && heartbeat.Version > inEffect.Version() {
 		return c.enqueue(ctx, c.helloFrame(true))
 	}
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -66,7 +66,11 @@
 	leftWithoutMajority map[netip.AddrPort]time.Time
 	dial                func(context.Context, netip.AddrPort) (net.Conn, error)
 
+	clock        func() (time.Duration, error) // for proofs
+	proofsNeeded func() bool
+
 	snapshot atomic.Pointer[compiler.Snapshot]
+	proof    atomic.Pointer[proof] // latest proof
 	session  atomic.Pointer[session]
 }
 
@@ -122,6 +126,8 @@
 		lastSessionEnd: map[netip.AddrPort]time.Time{},
 
 		leftWithoutMajority: map[netip.AddrPort]time.Time{},
+		clock:               func() (time.Duration, error) { return 0, errors.New("no clock") },
+		proofsNeeded:        func() bool { return false },
 		dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", addr.String())
 		},
