Check the key of each call and tell the upstream its tenant

Cause: with tenants in the configuration, calls still need no key and upstreams do not learn who calls.

Change: package authorizer looks up the key after the call was read and again before each attempt, with the newest configuration, and needs a proof that it is current if the settings say so (revoke). It checks the proof before it reads the configuration, so that the proof covers what is looked up. Routed calls and service calls answer 401 or 503, drop Authorization where the configuration has tenants, and replace the tenant header on the way to the local upstream and to other daemons. A service call needs no key if a public route leads to the service. The class of a routed call follows the rank of its tenant. Trailers of service calls cannot carry the key or the tenant.

--- a/core/compiler/routes.go
+++ b/core/compiler/routes.go
@@ -117,6 +117,22 @@
 	return m
 }
 
+// publicServices returns the services that public routes lead to.
+func publicServices(routes []wire.Route) map[string]bool {
+	public := map[string]bool{}
+	for i := range routes {
+		if !routes[i].Public {
+			continue
+		}
+		for _, p := range routes[i].Parts {
+			if p.Weight > 0 {
+				public[p.Service] = true
+			}
+		}
+	}
+	return public
+}
+
 func (m matcher) match(host, path string) (*wire.Route, bool) {
 	for _, r := range m[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
--- a/core/compiler/snapshot.go
+++ b/core/compiler/snapshot.go
@@ -20,6 +20,7 @@
 	services     map[string]wire.Service
 	routes       matcher
 	tenants      tenantIndex
+	public       map[string]bool // services that a public route leads to
 }
 
 // New returns a snapshot of batch, or an error if batch is invalid or its checksum is not sum.
@@ -42,6 +43,7 @@
 		tenantHashes: tenantKind.hashList(batch.Tenants).hashes,
 		routes:       newMatcher(batch.Routes),
 		tenants:      newTenantIndex(batch.Tenants),
+		public:       publicServices(batch.Routes),
 	}
 	return s.verifyAndIndex(sum)
 }
@@ -84,7 +86,7 @@
 	for _, service := range delta.ChangedServices {
 		services[service.Name] = service
 	}
-	next := &Snapshot{routeHashes: routes.hashes, tenantHashes: tenants.hashes, routes: s.routes, tenants: s.tenants}
+	next := &Snapshot{routeHashes: routes.hashes, tenantHashes: tenants.hashes, routes: s.routes, tenants: s.tenants, public: s.public}
 	next.batch = wire.Batch{
 		Name:     s.batch.Name,
 		Version:  delta.Version,
@@ -111,7 +113,7 @@
 		return nil, err
 	}
 	if len(delta.ChangedRoutes)+len(delta.RemovedRoutes) > 0 {
-		next.routes = newMatcher(next.batch.Routes)
+		next.routes, next.public = newMatcher(next.batch.Routes), publicServices(next.batch.Routes)
 	}
 	if len(delta.ChangedTenants)+len(delta.RemovedTenants) > 0 {
 		if err := CheckTenants(next.batch.Name, next.batch.Tenants); err != nil {
@@ -154,6 +156,11 @@
 	return service, ok
 }
 
+// IsPublicService reports whether a public route leads to the service with the given name.
+func (s *Snapshot) IsPublicService(name string) bool {
+	return s.public[name]
+}
+
 // Route returns the route for the given host with the longest prefix that matches path.
 func (s *Snapshot) Route(host, path string) (*wire.Route, bool) {
 	return s.routes.match(host, path)
--- /dev/null
+++ b/daemon/authorizer/authorizer.go
@@ -0,0 +1,150 @@
+// Package authorizer decides which tenant a call belongs to and whether it may be sent.
+package authorizer
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/wire"
+)
+
+// HeaderKey is the header that carries the key of a call.
+const HeaderKey = "Authorization"
+
+// scheme precedes the key in HeaderKey.
+const scheme = "Token"
+
+// Challenge is the value of WWW-Authenticate in the answer to a call without a valid key.
+const Challenge = scheme
+
+// Reasons to refuse a call. The texts are part of answers and logs.
+var (
+	// ErrNoKey reports a call without a key, or with a malformed one.
+	ErrNoKey = errors.New("the call needs a key")
+	// ErrUnknownKey reports a key that no tenant has.
+	ErrUnknownKey = errors.New("unknown key")
+	// ErrNoProof reports that the configuration is not proven to be current, so that the key may have been removed.
+	ErrNoProof = errors.New("the configuration is not proven to be current")
+)
+
+var refusals = map[error]*metrics.Counter{
+	ErrNoKey:      metrics.NewCounter(`bluebell_calls_unauthorized_total{reason="no key"}`),
+	ErrUnknownKey: metrics.NewCounter(`bluebell_calls_unauthorized_total{reason="unknown key"}`),
+	ErrNoProof:    metrics.NewCounter(`bluebell_calls_unauthorized_total{reason="no proof"}`),
+}
+
+// Authorizer authorizes calls. Its methods may be called concurrently.
+type Authorizer struct {
+	snapshot func() *compiler.Snapshot
+	proven   func() bool
+}
+
+// Option configures an Authorizer.
+type Option func(*Authorizer)
+
+// WithSnapshot sets the source of the configuration.
+func WithSnapshot(snapshot func() *compiler.Snapshot) Option {
+	return func(a *Authorizer) { a.snapshot = snapshot }
+}
+
+// WithProof sets the function that reports whether the configuration in force is proven to be current. Without it, no proof
+// is needed.
+func WithProof(proven func() bool) Option {
+	return func(a *Authorizer) { a.proven = proven }
+}
+
+// New returns an authorizer. WithSnapshot is required.
+func New(opts ...Option) *Authorizer {
+	a := &Authorizer{proven: func() bool { return true }}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
+}
+
+// Call is what the authorizer needs to know of a call.
+type Call struct {
+	Key string // empty if the call has none
+	// IsPublic reports whether a call needs no key in a configuration.
+	IsPublic func(*compiler.Snapshot) bool
+}
+
+// Grant is the result of a successful authorization. It holds for one configuration.
+type Grant struct {
+	Tenant   wire.Tenant // without a name if the call belongs to no tenant
+	DropKey  bool        // the key must not be passed on
+	snapshot *compiler.Snapshot
+}
+
+// ParseKey returns the key in the values of HeaderKey, or an empty text if there is not exactly one.
+func ParseKey(values []string) string {
+	if len(values) != 1 {
+		return ""
+	}
+	name, key, _ := strings.Cut(strings.TrimSpace(values[0]), " ")
+	if !strings.EqualFold(name, scheme) {
+		return ""
+	}
+	return strings.TrimLeft(key, " ")
+}
+
+// Authorize authorizes a call that has been read completely.
+func (a *Authorizer) Authorize(c Call) (Grant, error) {
+	return a.authorize(c, nil)
+}
+
+// Renew authorizes a call again, with the newest configuration, before it is sent.
+func (a *Authorizer) Renew(c Call, last Grant) (Grant, error) {
+	return a.authorize(c, &last)
+}
+
+// authorize authorizes a call. It does not look up the key again if the configuration is that of the last grant.
+func (a *Authorizer) authorize(c Call, last *Grant) (Grant, error) {
+	// The proof must be checked first: it covers the version in force at that time and all later ones, while a snapshot that
+	// was read earlier may be older than the version that the proof covers.
+	proven := a.proven()
+	snapshot := a.snapshot()
+	grant := Grant{snapshot: snapshot}
+	if snapshot == nil || !snapshot.NeedsKey() {
+		return grant, nil
+	}
+	grant.DropKey = true
+	if c.IsPublic(snapshot) {
+		return grant, nil
+	}
+	if !proven {
+		return grant, refuse(ErrNoProof)
+	}
+	if c.Key == "" {
+		return grant, refuse(ErrNoKey)
+	}
+	if last != nil && last.snapshot == snapshot && last.Tenant.Name != "" {
+		return *last, nil
+	}
+	var ok bool
+	if grant.Tenant, ok = snapshot.TenantOfKey(c.Key); !ok {
+		return grant, refuse(ErrUnknownKey)
+	}
+	return grant, nil
+}
+
+// Ready reports whether calls with a key can be judged.
+func (a *Authorizer) Ready() bool {
+	proven := a.proven()
+	snapshot := a.snapshot()
+	return snapshot != nil && (proven || !snapshot.NeedsKey())
+}
+
+// NeedsKey reports whether the configuration in force calls for keys, which must not be passed on.
+func (a *Authorizer) NeedsKey() bool {
+	snapshot := a.snapshot()
+	return snapshot != nil && snapshot.NeedsKey()
+}
+
+func refuse(reason error) error {
+	refusals[reason].Inc()
+	return reason
+}
--- /dev/null
+++ b/daemon/authorizer/authorizer_test.go
@@ -0,0 +1,131 @@
+package authorizer_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/core/compiler"
+	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/authorizer"
+)
+
+// newSnapshot returns a configuration that calls for keys if it has a key.
+func newSnapshot(t *testing.T, keys ...string) *compiler.Snapshot {
+	t.Helper()
+	batch := wire.Batch{Name: "m", Version: 1, Until: 1 << 50, Salt: compiler.NewSalt(), Auth: len(keys) > 0}
+	for _, key := range keys {
+		hash := compiler.HashDigest(batch.Salt, compiler.DigestKey(key))
+		batch.Tenants = append(batch.Tenants, wire.Tenant{Name: "tenant of " + key, Keys: [][]byte{hash}})
+	}
+	sum, err := compiler.Checksum(batch)
+	is.New(t).NoErr(err)
+	s, err := compiler.New(batch, sum)
+	is.New(t).NoErr(err)
+	return s
+}
+
+func isPublic(public bool) func(*compiler.Snapshot) bool {
+	return func(*compiler.Snapshot) bool { return public }
+}
+
+// TestParseKey guards against a key that is not found in the header, and against one of several that is picked by chance.
+func TestParseKey(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		values []string
+		key    string
+	}{
+		{"key", []string{"Token abc"}, "abc"},
+		{"other case", []string{"token abc"}, "abc"},
+		{"spaces", []string{" Token  abc "}, "abc"},
+		{"none", nil, ""},
+		{"empty", []string{"Token "}, ""},
+		{"no scheme", []string{"abc"}, ""},
+		{"other scheme", []string{"Bearer abc"}, ""},
+		{"two", []string{"Token abc", "Token abc"}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(authorizer.ParseKey(c.values), c.key)
+		})
+	}
+}
+
+// TestAuthorize guards against calls that are sent without a key or without a proof, and against calls that are refused with
+// a wrong reason.
+func TestAuthorize(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		keys           []string
+		public, proven bool
+		key            string
+		err            error
+		tenant         string
+		dropKey        bool
+	}{
+		{"key", []string{"k"}, false, true, "k", nil, "tenant of k", true},
+		{"no key", []string{"k"}, false, true, "", authorizer.ErrNoKey, "", true},
+		{"unknown key", []string{"k"}, false, true, "l", authorizer.ErrUnknownKey, "", true},
+		{"key without proof", []string{"k"}, false, false, "k", authorizer.ErrNoProof, "", true},
+		{"no key without proof", []string{"k"}, false, false, "", authorizer.ErrNoProof, "", true},
+		{"unknown key without proof", []string{"k"}, false, false, "l", authorizer.ErrNoProof, "", true},
+		{"public", []string{"k"}, true, false, "k", nil, "", true},
+		{"no tenants", nil, false, false, "k", nil, "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSnapshot(t, c.keys...)
+			a := authorizer.New(
+				authorizer.WithSnapshot(func() *compiler.Snapshot { return s }),
+				authorizer.WithProof(func() bool { return c.proven }),
+			)
+			grant, err := a.Authorize(authorizer.Call{Key: c.key, IsPublic: isPublic(c.public)})
+			is.Equal(err, c.err)
+			is.Equal(grant.Tenant.Name, c.tenant)
+			is.Equal(grant.DropKey, c.dropKey)
+		})
+	}
+}
+
+// TestRenew guards against a call that is sent after its key was removed, or after the proof has ended, because it was
+// authorized before.
+func TestRenew(t *testing.T) {
+	is := is.New(t)
+	current, proven := newSnapshot(t, "k"), true
+	a := authorizer.New(
+		authorizer.WithSnapshot(func() *compiler.Snapshot { return current }),
+		authorizer.WithProof(func() bool { return proven }),
+	)
+	c := authorizer.Call{Key: "k", IsPublic: isPublic(false)}
+	grant, err := a.Authorize(c)
+	is.NoErr(err)
+	again, err := a.Renew(c, grant)
+	is.NoErr(err)
+	is.Equal(again.Tenant.Name, "tenant of k")
+	proven = false
+	_, err = a.Renew(c, grant)
+	is.Equal(err, authorizer.ErrNoProof)
+	proven, current = true, newSnapshot(t, "l")
+	_, err = a.Renew(c, grant)
+	is.Equal(err, authorizer.ErrUnknownKey)
+	current = newSnapshot(t)
+	_, err = a.Renew(c, grant)
+	is.NoErr(err)
+}
+
+// TestProofFirst guards against a key that is looked up in a snapshot which was read before the proof arrived, and which the
+// proof does not cover.
+func TestProofFirst(t *testing.T) {
+	revoked, before := newSnapshot(t, "l"), newSnapshot(t, "k")
+	current, proven := before, false
+	a := authorizer.New(
+		authorizer.WithSnapshot(func() *compiler.Snapshot {
+			read := current
+			current, proven = revoked, true // the update and its proof arrive right after
+			return read
+		}),
+		authorizer.WithProof(func() bool { return proven }),
+	)
+	_, err := a.Authorize(authorizer.Call{Key: "k", IsPublic: isPublic(false)})
+	is.New(t).Equal(err, authorizer.ErrNoProof)
+}
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 )
@@ -47,6 +48,7 @@
 	CallerRetry bool          // the caller is probably retrying after a refusal
 	Kind        budgeter.Kind // what the arrival at the upstream is
 	Started     time.Time     // when a daemon got the call from its caller
+	Tenant      string        // name of the tenant of the call; empty for none
 }
 
 // Result is the result of a call.
@@ -82,6 +84,7 @@
 	beginRun      func(budgeter.Arrival) (end func(sent bool), err error)
 	client        *courier.Client
 	names         courier.HeaderNames
+	needsKey      func() bool
 	durations     durations
 	draining      atomic.Bool
 }
@@ -115,6 +118,11 @@
 	return func(d *Deliverer) { d.checkBudget, d.beginRun = check, begin }
 }
 
+// WithNeedsKey sets the function that reports whether the configuration in force calls for keys. Upstreams get no keys then.
+func WithNeedsKey(needsKey func() bool) Option {
+	return func(d *Deliverer) { d.needsKey = needsKey }
+}
+
 // WithHeaderNames sets the header names.
 func WithHeaderNames(names courier.HeaderNames) Option {
 	return func(d *Deliverer) { d.names = names }
@@ -127,6 +135,7 @@
 		load:          func() int { return -1 },
 		checkBudget:   func(budgeter.Arrival) error { return nil },
 		beginRun:      func(budgeter.Arrival) (func(bool), error) { return func(bool) {}, nil },
+		needsKey:      func() bool { return false },
 		client:        courier.New(),
 		names:         courier.DefaultHeaderNames(),
 	}
@@ -237,6 +246,7 @@
 	request := *c.Request
 	request.Header = request.Header.Clone()
 	courier.RemoveDaemonHeaders(request.Header)
+	d.setTenant(request.Header, c.Tenant)
 	if d.names.Deadline != "" {
 		request.Header.Set(d.names.Deadline, strconv.FormatInt(time.Until(c.Deadline).Milliseconds(), 10))
 	}
@@ -253,6 +263,20 @@
 	return result
 }
 
+// setTenant replaces what the caller sent about its tenant.
+func (d *Deliverer) setTenant(h http.Header, tenant string) {
+	if d.needsKey() {
+		h.Del(authorizer.HeaderKey)
+	}
+	if d.names.Tenant == "" {
+		return
+	}
+	h.Del(d.names.Tenant)
+	if tenant != "" {
+		h.Set(d.names.Tenant, tenant)
+	}
+}
+
 // classify returns the result of a call for an answer, and the outcome for the limiter.
 func (d *Deliverer) classify(answer *courier.Answer) (Result, SlotOutcome) {
 	courier.RemoveHopByHop(answer.Header)
--- a/daemon/deliverer/deliverer_test.go
+++ b/daemon/deliverer/deliverer_test.go
@@ -245,3 +245,50 @@
 	is.True(c.Target.Sub(latest) >= 20*time.Millisecond)
 	is.Equal(r.Outcome, deliverer.NotRun)
 }
+
+// TestTenant guards against an upstream that gets a key, or a tenant that the caller chose, on the way from this daemon or from
+// another one.
+func TestTenant(t *testing.T) {
+	for _, c := range []struct {
+		name, tenant string
+		needsKey     bool
+		wantKey      string
+	}{
+		{"tenant", "alfa", true, ""},
+		{"public", "", true, ""},
+		{"no tenants", "", false, "Token k"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var got http.Header
+			f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				got = r.Header
+				reply(200, "Proof", "p")(w, r)
+			})
+			deliverer.WithNeedsKey(func() bool { return c.needsKey })(f.Deliverer)
+			newTenantCall := func() deliverer.Call {
+				call := newCall(true)
+				call.Tenant = c.tenant
+				call.Request.Header.Set("Bluebell-Tenant", "forged")
+				call.Request.Header.Set("Authorization", "Token k")
+				return call
+			}
+			check := func(t *testing.T) {
+				t.Helper()
+				is := is.New(t)
+				is.Equal(got.Get("Bluebell-Tenant"), c.tenant)
+				is.Equal(got.Get("Authorization"), c.wantKey)
+			}
+			t.Run("local", func(t *testing.T) {
+				f.Deliver(t.Context(), newTenantCall())
+				check(t)
+			})
+			t.Run("from another daemon", func(t *testing.T) {
+				packed := newTenantCall().Pack()
+				r := httptest.NewRequest(packed.Method, packed.Target, nil)
+				r.Header = packed.Header
+				f.ServeHTTP(httptest.NewRecorder(), r)
+				check(t)
+			})
+		})
+	}
+}
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -21,6 +21,8 @@
 	headerCall = "Bluebell-Order"
 	// headerResult holds outcome, load, whether the call was sent to the upstream, and reason.
 	headerResult = "Bluebell-Result"
+	// headerTenant holds the name of the tenant of a call.
+	headerTenant = "Bluebell-Tenant"
 
 	fieldSeparator = ";"
 	callFields     = 7
@@ -50,6 +52,10 @@
 		c.Service, c.Class, millis(time.Until(c.Deadline)), target, url.QueryEscape(c.Route), strconv.FormatBool(c.Retryable),
 		strconv.FormatBool(c.CallerRetry),
 	}, fieldSeparator))
+	request.Header.Del(headerTenant)
+	if c.Tenant != "" {
+		request.Header.Set(headerTenant, c.Tenant)
+	}
 	if arrival := budgeter.EncodeArrival(c.Kind, c.Started, time.Now()); arrival != "" {
 		request.Header.Set(budgeter.HeaderArrival, arrival)
 	}
@@ -70,6 +76,7 @@
 		Request: &courier.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header},
 		Service: fields[0],
 		Class:   fields[1],
+		Tenant:  r.Header.Get(headerTenant),
 	}
 	left, err := strconv.ParseInt(fields[2], 10, 64)
 	if err != nil {
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -8,6 +8,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
@@ -26,6 +27,8 @@
 	callerTimeout time.Duration // how long the caller waits from started on
 	firstKind     budgeter.Kind // kind of the first arrival of the call
 	priorWait     time.Duration // how long the caller has probably waited before this call, in earlier attempts
+	keyed         authorizer.Call
+	grant         authorizer.Grant // last grant; its tenant is that of the call
 
 	noRetryReason string          // why the call was not retried, or empty
 	sent          int             // number of upstreams to which the call was sent
@@ -51,6 +54,10 @@
 			}
 			break
 		}
+		if err := c.renewGrant(); err != nil {
+			report(Outcome{Result: Canceled, Load: -1})
+			return c.revokedAnswer(ctx, err)
+		}
 		c.attempted = append(c.attempted, member.Name)
 		if answer := c.attempt(ctx, member, report); answer != nil {
 			return answer
@@ -73,6 +80,17 @@
 	return member, report, err
 }
 
+// revokedAnswer returns the response to a call whose authorization ended while it was in flight. If an attempt may have run,
+// the response must not promise that none did.
+func (c *call) revokedAnswer(ctx context.Context, err error) *courier.Answer {
+	if c.mayHaveRun || c.failure != nil {
+		c.noRetryReason = err.Error()
+		return c.finalAnswer(ctx)
+	}
+	c.lastResult = deliverer.Result{Outcome: deliverer.NotRun, Reason: err.Error(), Load: -1}
+	return c.d.unauthorized(err)
+}
+
 // mayAttempt reports whether another attempt may be made.
 func (c *call) mayAttempt(ctx context.Context) bool {
 	if len(c.attempted) == 0 {
@@ -133,7 +151,7 @@
 func (c *call) send(ctx context.Context, member wire.Member) (deliverer.Result, Result) {
 	outgoing := deliverer.Call{
 		Request: c.request, Service: c.service, Deadline: c.deadline, Route: c.route.Name, Retryable: c.route.Retryable,
-		Kind: c.arrivalKind(), Started: c.started,
+		Kind: c.arrivalKind(), Started: c.started, Tenant: c.grant.Tenant.Name,
 	}
 	c.setPriority(&outgoing)
 	if member.Name == c.d.self {
@@ -211,12 +229,12 @@
 	maxNormalRank = 2
 )
 
-// class returns the priority class for the rank of the route.
+// class returns the priority class for the rank of the call.
 func (c *call) class() string {
-	switch {
-	case c.route.Rank <= maxUrgentRank:
+	switch rank := c.rank(); {
+	case rank <= maxUrgentRank:
 		return compiler.Urgent
-	case c.route.Rank <= maxNormalRank:
+	case rank <= maxNormalRank:
 		return compiler.Normal
 	}
 	return compiler.Bulk
@@ -240,7 +258,7 @@
 		message = "call failed"
 	}
 	c.d.log.Info(message, "id", c.id, "route", c.route.Name, "version", c.version, "service", c.service,
-		"status", answer.Status, "outcome", c.lastResult.Outcome, "reason", c.lastResult.Reason, "load", c.lastResult.Load,
+		"tenant", c.grant.Tenant.Name, "status", answer.Status, "outcome", c.lastResult.Outcome, "reason", c.lastResult.Reason, "load", c.lastResult.Load,
 		"asked", c.attempted, "arrivals", c.sent, "gone", ctx.Err() != nil, "took", took.Round(time.Millisecond).String(),
 		"patience", c.callerTimeout.String(), "waited", c.priorWait.String(), "target", c.route.Target.String(),
 		"again", c.noRetryReason)
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
@@ -45,6 +46,7 @@
 	domain        string
 	callerService func() string
 	startCall     func(id, service string) (budgeter.Kind, error)
+	authorizer    *authorizer.Authorizer
 	peers         *courier.Client
 	names         courier.HeaderNames
 	log           hclog.Logger
@@ -111,6 +113,11 @@
 	return func(d *Dispatcher) { d.startCall = startCall }
 }
 
+// WithAuthorizer sets the authorizer. Without it, keys need no proof.
+func WithAuthorizer(a *authorizer.Authorizer) Option {
+	return func(d *Dispatcher) { d.authorizer = a }
+}
+
 // WithDial sets the function that opens connections to other daemons, and its timeout.
 func WithDial(dial func(context.Context, netip.AddrPort) (net.Conn, error), timeout time.Duration) Option {
 	return func(d *Dispatcher) { d.peers = courier.New(courier.WithDial(dial, timeout)) }
@@ -139,6 +146,9 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	if d.authorizer == nil {
+		d.authorizer = authorizer.New(authorizer.WithSnapshot(d.snapshot))
+	}
 	return d
 }
 
@@ -150,7 +160,7 @@
 // Handle answers one call. The context must end when the caller disconnects.
 func (d *Dispatcher) Handle(ctx context.Context, request *courier.Request) *courier.Answer {
 	started := time.Now()
-	d.waitForStartup(ctx, started, d.callerTimeout(request.Header, defaultCallerTimeout), func() bool { return d.snapshot() != nil })
+	d.waitForStartup(ctx, started, d.callerTimeout(request.Header, defaultCallerTimeout), func() bool { return d.canJudge(request) })
 	c, refusal := d.admit(request, started)
 	if refusal != nil {
 		version, revision := d.configVersion()
@@ -163,6 +173,11 @@
 	return answer
 }
 
+// canJudge reports whether the configuration is known, and proven to be current if the call has a key.
+func (d *Dispatcher) canJudge(request *courier.Request) bool {
+	return d.snapshot() != nil && (request.Header.Get(authorizer.HeaderKey) == "" || d.authorizer.Ready())
+}
+
 // configVersion returns the version and the operator's revision of the configuration in force, or zeros without one.
 func (d *Dispatcher) configVersion() (version, revision uint64) {
 	snapshot := d.snapshot()
@@ -198,9 +213,12 @@
 		return nil, d.errorResponse(http.StatusNotFound, deliverer.NotRun, "no route", 0)
 	}
 	c := &call{
-		d: d, route: route, request: request, id: request.Header.Get(d.names.Attempt),
-		started: arrival, service: d.splitter(route).next(), version: snapshot.Version(),
+		d: d, route: route, request: request, id: request.Header.Get(d.names.Attempt), started: arrival, version: snapshot.Version(),
+	}
+	if err := c.authorize(); err != nil {
+		return nil, d.unauthorized(err)
 	}
+	c.service = d.splitter(route).next()
 	c.deadline, c.callerTimeout = d.deadline(request.Header, route, arrival)
 	c.priorWait = d.priorWait(route, c.callerTimeout)
 	d.prepare(request.Header)
@@ -237,7 +255,7 @@
 // prepare removes the headers that only daemons may set from a caller's request and sets the caller for the upstream.
 func (d *Dispatcher) prepare(h http.Header) {
 	courier.RemoveDaemonHeaders(h)
-	for _, name := range []string{d.names.Deadline, d.names.Target, d.names.Caller, d.names.NotRun} {
+	for _, name := range []string{d.names.Deadline, d.names.Target, d.names.Caller, d.names.NotRun, d.names.Tenant} {
 		h.Del(name)
 	}
 	if caller := d.callerService(); caller != "" && d.names.Caller != "" {
--- a/daemon/forwarder/body.go
+++ b/daemon/forwarder/body.go
@@ -17,6 +17,7 @@
 	rest     io.Reader // unread part of the body; nil if the whole body is buffered
 	length   int64     // of the whole body in bytes; -1 if unknown
 	trailer  http.Header
+	hidden   []string // names of trailers that are not passed on
 
 	mu       sync.Mutex
 	consumed bool // an attempt read from the body, so it cannot be sent again
@@ -50,6 +51,18 @@
 	return b, nil
 }
 
+// hideTrailers removes the trailers with the given names. Those of a body that is not fully buffered arrive with its end.
+func (b *body) hideTrailers(names []string) {
+	b.hidden = names
+	b.removeHidden()
+}
+
+func (b *body) removeHidden() {
+	for _, name := range b.hidden {
+		b.trailer.Del(name)
+	}
+}
+
 // fullyBuffered reports whether the whole body is buffered, so that it can be sent any number of times.
 func (b *body) fullyBuffered() bool {
 	return b.rest == nil
@@ -99,7 +112,11 @@
 	}
 	s.body.consumed = true
 	s.body.mu.Unlock()
-	return s.reader.Read(p)
+	n, err := s.reader.Read(p)
+	if err == io.EOF { // the server adds trailers before it reports the end
+		s.body.removeHidden()
+	}
+	return n, err
 }
 
 // Close does nothing: the server closes the caller's body after the handler returns.
--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 
+	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 )
@@ -35,13 +36,17 @@
 		f.writeErrorResponse(w, r, "egress", errorResponse(http.StatusBadRequest, OutcomeNotRun, "request body: %v", err))
 		return
 	}
+	d := &delivery{f: f, call: c, request: r, body: reqBody, header: requestHeader(r)}
+	if errAnswer := d.authorize(); errAnswer != nil {
+		f.writeErrorResponse(w, r, "egress", errAnswer)
+		return
+	}
 	if errAnswer := f.startCall(c, r.Header); errAnswer != nil {
 		f.writeErrorResponse(w, r, "egress", errAnswer)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	d := &delivery{f: f, call: c, request: r, body: reqBody, header: requestHeader(r)}
 	d.prepareHeader()
 	result := d.sendWithRetries(ctx)
 	if result.local {
@@ -69,6 +74,8 @@
 	request *http.Request
 	body    *body
 	header  http.Header
+	keyed   authorizer.Call
+	grant   authorizer.Grant // of the authorization after the call was read
 }
 
 // result is the outcome of a delivery.
@@ -185,9 +192,14 @@
 // send sends the call to one member.
 func (d *delivery) send(ctx context.Context, addr string, kind budgeter.Kind) attemptResult {
 	started := time.Now()
+	grant, refusal := d.renewGrant()
+	if refusal != nil {
+		return attemptResult{answer: refusal, outcome: Outcome{Result: Canceled, Load: -1}, notRun: true}
+	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	out, detach := d.newRequest(httptrace.WithClientTrace(ctx, trace), addr, kind, started)
+	d.f.setTenant(out.Header, grant)
 	transport := d.f.peerTransport
 	if !d.body.fullyBuffered() {
 		transport = d.f.streamTransport
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -14,7 +14,9 @@
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/connector"
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
+	"bluebellhoist/daemon/courier"
 )
 
 // Values of HeaderOutcome on responses that a daemon generates itself.
@@ -93,6 +95,9 @@
 	dialPeer dialFunc
 	metrics  *metrics.Set
 
+	authorizer   *authorizer.Authorizer
+	tenantHeader string // name of the header that tells the upstream the tenant
+
 	peerTransport   *http.Transport
 	streamTransport *http.Transport
 	pool            currentPool
@@ -162,6 +167,16 @@
 	return func(f *Forwarder) { f.budget = budget }
 }
 
+// WithAuthorizer sets the authorizer. Without it, keys need no proof.
+func WithAuthorizer(a *authorizer.Authorizer) Option {
+	return func(f *Forwarder) { f.authorizer = a }
+}
+
+// WithHeaderNames sets the header names, of which service calls use only that of the tenant.
+func WithHeaderNames(names courier.HeaderNames) Option {
+	return func(f *Forwarder) { f.tenantHeader = names.Tenant }
+}
+
 // WithDial replaces the dialers for connections to other daemons and to the upstream.
 func WithDial(dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)) Option {
 	return func(f *Forwarder) { f.dial, f.dialPeer = dial, dial }
@@ -201,10 +216,15 @@
 		dial:     dialTCP,
 		dialPeer: connector.New(connector.WithUserTimeout(connector.UserTimeout)).Dial,
 		metrics:  metrics.GetDefaultSet(),
+
+		tenantHeader: courier.DefaultHeaderNames().Tenant,
 	}
 	for _, opt := range opts {
 		opt(f)
 	}
+	if f.authorizer == nil {
+		f.authorizer = authorizer.New(authorizer.WithSnapshot(f.snapshot))
+	}
 	f.peerTransport = f.newPeerTransport()
 	f.streamTransport = f.newStreamTransport()
 	f.pool.dial = f.dial
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -14,6 +14,7 @@
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
+	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 )
@@ -215,6 +216,9 @@
 func (c *ingressCall) newRequest(ctx context.Context, now time.Time) *http.Request {
 	header := requestHeader(c.request)
 	header.Del(HeaderOnce)
+	if c.f.authorizer.NeedsKey() {
+		header.Del(authorizer.HeaderKey)
+	}
 	header.Set(HeaderDeadline, strconv.FormatInt(nextHopTimeout(c.deadline, now).Milliseconds(), 10))
 	if c.once {
 		header.Set(HeaderIdempotencyKey, c.claim.Key)
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -5,6 +5,7 @@
 
 	"bluebellhoist/core/connector"
 	"bluebellhoist/daemon/announcer"
+	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/claimer"
 	"bluebellhoist/daemon/deliverer"
@@ -27,8 +28,10 @@
 		subscriber.WithDiscovery(r.discoveredControllers),
 		subscriber.WithFolder(s.Data),
 		subscriber.WithDial(connector.New(connector.WithSource(s.Bind.Addr())).Dial),
+		subscriber.WithProofs(bootTime, func() bool { return r.settings.Load().Revoke > 0 }),
 		subscriber.WithLogger(r.log.Named("subscriber")),
 	)
+	r.authorizer = authorizer.New(authorizer.WithSnapshot(r.subscriber.Snapshot), authorizer.WithProof(r.isProven))
 	r.claimer = claimer.New(claimer.WithRequest(r.subscriber.Request))
 	var slots []limiter.Option
 	if s.Routes.IsValid() {
@@ -61,6 +64,8 @@
 		forwarder.WithBudget(forwarder.Budget{
 			StartNestedCall: r.budgeter.StartNestedCall, Check: r.budgeter.Check, Begin: r.budgeter.Begin,
 		}),
+		forwarder.WithAuthorizer(r.authorizer),
+		forwarder.WithHeaderNames(r.names),
 		forwarder.WithDialPeer(peers.Dial),
 	)
 	r.buildRoutedComponents(s, peers)
@@ -74,6 +79,7 @@
 		deliverer.WithUnreachable(r.announcer.MarkUnreachable),
 		deliverer.WithLoad(r.limiter.Load),
 		deliverer.WithBudget(r.budgeter.Check, r.budgeter.Begin),
+		deliverer.WithNeedsKey(r.authorizer.NeedsKey),
 		deliverer.WithHeaderNames(r.names),
 	)
 	r.dispatcher = dispatcher.New(
@@ -83,6 +89,7 @@
 		dispatcher.WithDomain(s.Domain),
 		dispatcher.WithCallerService(func() string { return r.settings.Load().Service }),
 		dispatcher.WithStartCall(r.budgeter.StartCall),
+		dispatcher.WithAuthorizer(r.authorizer),
 		dispatcher.WithDial(peers.Dial, peerDialTimeout),
 		dispatcher.WithHeaderNames(r.names),
 		dispatcher.WithLogger(r.log.Named("dispatcher")),
--- a/daemon/runner/gauges.go
+++ b/daemon/runner/gauges.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,6 +25,12 @@
 		}
 		return time.Until(time.UnixMilli(inEffect.Batch().Until)).Seconds()
 	})
+	set.NewGauge("bluebell_proof_age_seconds", func() float64 {
+		if age, ok := r.subscriber.ProofAge(); ok {
+			return age.Seconds()
+		}
+		return math.Inf(1)
+	})
 	set.NewGauge("bluebell_members_alive", func() float64 {
 		alive := 0
 		for _, m := range r.gossiper.Members() {
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -19,6 +19,7 @@
 	"bluebellhoist/core/watcher"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/announcer"
+	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/claimer"
 	"bluebellhoist/daemon/courier"
@@ -54,6 +55,7 @@
 	log           hclog.Logger
 	names         courier.HeaderNames
 	subscriber    *subscriber.Subscriber
+	authorizer    *authorizer.Authorizer
 	claimer       *claimer.Claimer
 	exchanger     *exchanger.Exchanger
 	gossiper      *gossiper.Gossiper
@@ -126,6 +128,16 @@
 	return r.subscriber.Snapshot() != nil && !r.stopping.Load()
 }
 
+// isProven reports whether the configuration in force is proven to have been current within the revoke time, or needs no proof.
+func (r *Runner) isProven() bool {
+	limit := time.Duration(r.settings.Load().Revoke)
+	if limit == 0 {
+		return true
+	}
+	age, ok := r.subscriber.ProofAge()
+	return ok && age < limit
+}
+
 // Report applies a status report of the local upstream. If the report does not state how many connections the upstream
 // accepts, the number from the configuration is used.
 func (r *Runner) Report(report announcer.Report) error {
