--- a/controller/distributor/distributor_test.go
+++ b/controller/distributor/distributor_test.go
@@ -35,6 +35,7 @@
 	barrierErr   atomic.Pointer[error]
 	barrierCount atomic.Int64
 	barrierGate  chan struct{} // barriers block until it is closed; nil if they don't block
+	barrierEnd   func()        // called at the end of each barrier; may be nil
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -54,6 +55,9 @@
 			if err := f.barrierErr.Load(); err != nil {
 				return *err
 			}
+			if f.barrierEnd != nil {
+				f.barrierEnd()
+			}
 			return nil
 		}),
 		distributor.WithView(f.registrar.View),
--- a/controller/distributor/prover_test.go
+++ b/controller/distributor/prover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -88,17 +89,22 @@
 func TestProofAfterBarrier(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.barrierGate = make(chan struct{})
-	f.startProving(t)
 	f.applyChange(t, "1", "a")
+	version := uint64(1)
+	f.barrierEnd = func() {
+		version++
+		f.applyChange(t, strconv.FormatUint(version, 10), "a", "b"+strconv.FormatUint(version, 10))
+	}
+	f.startProving(t)
 	d := f.connect(t, wire.Hello{Name: "d1", Held: 1})
-	d.ask(7)
-	f.awaitBarriers(t, 1)
-	f.applyChange(t, "2", "b")
-	close(f.barrierGate)
-	proof, updated := d.receiveProof()
-	is.Equal(proof.Newest, uint64(2))
-	is.Equal(updated, uint64(2))
+
+	for ask := uint64(1); ask <= 10; ask++ {
+		d.ask(ask)
+		proof, updated := d.receiveProof()
+		is.Equal(proof.Ask, ask)
+		is.Equal(proof.Newest, ask+1)
+		is.Equal(updated, ask+1)
+	}
 }
 
 // awaitBarriers waits until the given number of linearizable reads have started.
--- a/controller/runner/cluster_test.go
+++ b/controller/runner/cluster_test.go
@@ -83,8 +83,14 @@
 	running.send = func(to netip.AddrPort, p wire.Packet) { c.send(i, int(to.Port())-1, p) }
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
+	proving := make(chan struct{})
+	go func() {
+		defer close(proving)
+		_ = running.distributor.Run(ctx) // returns the error of ctx
+	}()
 	go func() {
 		done <- running.replicator.Run(ctx)
+		<-proving
 		_ = store.Close()
 		close(done)
 	}()
