--- a/bluebellctl/explain.go
+++ b/bluebellctl/explain.go
@@ -30,7 +30,8 @@
 var stateMessages = []string{
 	"starting", "stopping", "stopped", "settings reloaded", "upstream announced", "upstream leaves", "upstream refuses connections",
 	"announcement lapsed", "snapshot in effect", "session ended", "connected", "member is dead", "member is suspect",
-	"member changed state", "control loop stalled", "role changed", "change", "log lines dropped",
+	"member changed state", "control loop stalled", "role changed", "change", "log lines dropped", "update rejected",
+	"configuration not proven, calls that need a key are refused", "configuration proven again",
 }
 
 // logLine is one log line of a process.
@@ -180,13 +181,31 @@
 	case last.stringField("outcome") == "answered" || strings.HasPrefix(status, "2"):
 		return "the upstream of " + lastVM(last.stringList("asked")) + " answered with status " + status
 	case last.stringField("outcome") == "not-run" || last.Message == "call refused":
-		return "refused with status " + status + "; the call did not run" + reasonSuffix(last.stringField("reason"))
+		return "refused with status " + status + "; the call did not run" + reasonSuffix(last.stringField("reason")) + keyNote(last)
 	case last.stringField("again") != "":
 		return "unknown whether it ran" + reasonSuffix(last.stringField("reason")) + "; not sent again: " + last.stringField("again")
 	}
 	return "ended with status " + status + reasonSuffix(last.stringField("reason"))
 }
 
+// keyNote returns what to look for if the call was refused because of its key. Logs contain no keys.
+func keyNote(last logLine) string {
+	inForce := fmt.Sprintf("version %v", last.Fields["version"])
+	if revision, ok := last.Fields["revision"]; ok {
+		inForce += fmt.Sprintf(" (revision %v)", revision)
+	}
+	switch last.stringField("reason") {
+	case "the call needs a key":
+		return "; the route was not public in " + inForce + " and the call had no header \"Authorization: Token KEY\""
+	case "unknown key":
+		return "; no tenant had the key in " + inForce + ", which was proven to be the newest: compare the time of the change that removed it"
+	case "the configuration is not proven to be current":
+		return "; the daemon had " + inForce + " and no controller with a majority had confirmed lately that it is the newest: " +
+			"look for \"session ended\" and \"update rejected\" before"
+	}
+	return ""
+}
+
 // reasonSuffix returns the reason with a colon in front, or an empty string if there is none.
 func reasonSuffix(reason string) string {
 	if reason == "" {
--- a/bluebellctl/explain_test.go
+++ b/bluebellctl/explain_test.go
@@ -22,6 +22,10 @@
 {"@level":"info","@message":"stopping","@module":"vm-b","@timestamp":"2026-07-10T16:44:10Z"}
 {"@level":"info","@message":"change","@module":"core.operator","@timestamp":"2026-07-10T16:44:20Z","id":"c9","code":"conflict","reason":"batch is at revision 6"}
 {"@level":"info","@message":"call answered","@module":"vm-b.dispatcher","@timestamp":"2026-07-10T16:44:40Z","id":"k2","status":200,"outcome":"answered","asked":["vm-c","vm-b"]}
+{"@level":"info","@message":"call refused","@module":"vm-b.dispatcher","@timestamp":"2026-07-10T16:44:41Z","id":"k4","status":401,"reason":"unknown key","version":9,"revision":4}
+{"@level":"warn","@message":"configuration not proven, calls that need a key are refused","@module":"vm-b.authorizer","@timestamp":"2026-07-10T16:44:42Z","version":9}
+{"@level":"info","@message":"call refused","@module":"vm-b.dispatcher","@timestamp":"2026-07-10T16:44:42Z","id":"k5","status":503,"reason":"the configuration is not proven to be current","version":9,"revision":4}
+{"@level":"info","@message":"call refused","@module":"vm-b.dispatcher","@timestamp":"2026-07-10T16:44:43Z","id":"k6","status":401,"reason":"the call needs a key","version":9,"revision":4}
 `
 )
 
@@ -47,6 +51,9 @@
 			[]string{"stopping", "k2", "code="}},
 		{"answered", []string{"k2", b}, exitOK, []string{"the upstream of vm-b answered with status 200", "one VM"}, []string{"k1"}},
 		{"change", []string{"c9", b}, exitOK, []string{"code conflict: batch is at revision 6"}, nil},
+		{"unknown key", []string{"k4", b}, exitOK, []string{"status 401; the call did not run: unknown key", "version 9 (revision 4)"}, nil},
+		{"no proof", []string{"k5", b}, exitOK, []string{"calls that need a key are refused", "status 503", "session ended"}, nil},
+		{"no key", []string{"k6", b}, exitOK, []string{"status 401", "was not public in version 9 (revision 4)"}, nil},
 		{"json", []string{"--json", "k1", a}, exitOK, []string{`"verdict": "unknown whether it ran: connection reset`}, nil},
 		{"unknown id", []string{"k3", a, b}, exitFailed, nil, nil},
 		{"no file", []string{"k1"}, exitUsage, nil, nil},
--- a/daemon/authorizer/authorizer.go
+++ b/daemon/authorizer/authorizer.go
@@ -4,8 +4,10 @@
 import (
 	"errors"
 	"strings"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
 
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
@@ -40,6 +42,8 @@
 type Authorizer struct {
 	snapshot func() *compiler.Snapshot
 	proven   func() bool
+	log      hclog.Logger
+	refusing atomic.Bool // the last call that needed a proof was refused for want of one
 }
 
 // Option configures an Authorizer.
@@ -56,9 +60,14 @@
 	return func(a *Authorizer) { a.proven = proven }
 }
 
+// WithLogger sets the logger.
+func WithLogger(log hclog.Logger) Option {
+	return func(a *Authorizer) { a.log = log }
+}
+
 // New returns an authorizer. WithSnapshot is required.
 func New(opts ...Option) *Authorizer {
-	a := &Authorizer{proven: func() bool { return true }}
+	a := &Authorizer{proven: func() bool { return true }, log: hclog.NewNullLogger()}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -115,6 +124,7 @@
 	if c.IsPublic(snapshot) {
 		return grant, nil
 	}
+	a.logProof(proven, snapshot)
 	if !proven {
 		return grant, refuse(ErrNoProof)
 	}
@@ -131,6 +141,18 @@
 	return grant, nil
 }
 
+// logProof logs when calls begin to be refused for want of a proof, and when they are served again.
+func (a *Authorizer) logProof(proven bool, snapshot *compiler.Snapshot) {
+	if a.refusing.Load() == !proven || a.refusing.Swap(!proven) == !proven {
+		return
+	}
+	if proven {
+		a.log.Info("configuration proven again", "version", snapshot.Version())
+		return
+	}
+	a.log.Warn("configuration not proven, calls that need a key are refused", "version", snapshot.Version())
+}
+
 // Ready reports whether calls with a key can be judged.
 func (a *Authorizer) Ready() bool {
 	proven := a.proven()
--- a/daemon/authorizer/authorizer_test.go
+++ b/daemon/authorizer/authorizer_test.go
@@ -1,8 +1,12 @@
 package authorizer_test
 
 import (
+	"bytes"
+	"os"
+	"strings"
 	"testing"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"bluebellhoist/core/compiler"
@@ -129,3 +133,31 @@
 	_, err := a.Authorize(authorizer.Call{Key: "k", IsPublic: isPublic(false)})
 	is.New(t).Equal(err, authorizer.ErrNoProof)
 }
+
+// TestReasons guards against refusals that `bluebellctl explain` does not recognize, because it compares the texts.
+func TestReasons(t *testing.T) {
+	is := is.New(t)
+	source, err := os.ReadFile("../../bluebellctl/explain.go")
+	is.NoErr(err)
+	for _, reason := range []error{authorizer.ErrNoKey, authorizer.ErrUnknownKey, authorizer.ErrNoProof} {
+		is.True(strings.Contains(string(source), `case "`+reason.Error()+`":`))
+	}
+}
+
+// TestProofLog guards against a log line for each refused call, and against logs that do not show when the proof was missing.
+func TestProofLog(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	s, proven := newSnapshot(t, "k"), true
+	a := authorizer.New(
+		authorizer.WithSnapshot(func() *compiler.Snapshot { return s }),
+		authorizer.WithProof(func() bool { return proven }),
+		authorizer.WithLogger(hclog.New(&hclog.LoggerOptions{Output: &out})),
+	)
+	for _, proven = range []bool{true, false, false, false, true, true} {
+		_, _ = a.Authorize(authorizer.Call{Key: "k", IsPublic: isPublic(false)})
+	}
+	is.Equal(strings.Count(out.String(), "\n"), 2)
+	is.True(strings.Contains(out.String(), "configuration not proven"))
+	is.True(strings.Contains(out.String(), "configuration proven again"))
+}
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -31,7 +31,11 @@
 		subscriber.WithProofs(bootTime, func() bool { return r.settings.Load().Revoke > 0 }),
 		subscriber.WithLogger(r.log.Named("subscriber")),
 	)
-	r.authorizer = authorizer.New(authorizer.WithSnapshot(r.subscriber.Snapshot), authorizer.WithProof(r.isProven))
+	r.authorizer = authorizer.New(
+		authorizer.WithSnapshot(r.subscriber.Snapshot),
+		authorizer.WithProof(r.isProven),
+		authorizer.WithLogger(r.log.Named("authorizer")),
+	)
 	r.claimer = claimer.New(claimer.WithRequest(r.subscriber.Request))
 	var slots []limiter.Option
 	if s.Routes.IsValid() {
