Add token buckets of controllers and tokens of daemons for quotas over the whole mesh

A tenant's rate has to hold over all daemons, which need an authority that outlasts partitions and freezes. Each voter of the log now has a bucket with an equal share of every limit (controller/allocator); daemons take tokens that expire so early that the bound of a window holds (daemon/spender). core/carrier carries their datagrams. The decisions use neither a network nor a clock of their own. Nothing uses them yet.

--- /dev/null
+++ b/core/carrier/carrier_test.go
@@ -0,0 +1,118 @@
+package carrier
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/wire"
+)
+
+var sample = wire.Quota{Kind: Allot, Seq: 1 << 63, Voters: 3, Items: []wire.QuotaItem{
+	{Tenant: "daegu", Mod: 9, Count: 4, Extra: 3, Wait: MaxWait}, {Tenant: "buk"},
+}}
+
+// TestDatagram guards against datagrams that change on the way, are larger than a link carries, or are damaged.
+func TestDatagram(t *testing.T) {
+	is := is.New(t)
+	data, err := Encode(sample)
+	is.NoErr(err)
+	got, err := Decode(data)
+	is.NoErr(err)
+	is.Equal(got, sample)
+	data[len(data)/2] ^= 1
+	_, err = Decode(data)
+	is.True(errors.Is(err, ErrInvalid))
+	large := wire.Quota{Kind: Ask, Batch: strings.Repeat("b", MaxDatagram)}
+	_, err = Encode(large)
+	is.True(errors.Is(err, ErrInvalid))
+}
+
+// TestRange guards against values that a receiver does not expect.
+func TestRange(t *testing.T) {
+	for name, change := range map[string]func(*wire.Quota){
+		"kind":     func(m *wire.Quota) { m.Kind = "other" },
+		"voters":   func(m *wire.Quota) { m.Voters = -1 },
+		"batch":    func(m *wire.Quota) { m.Batch = strings.Repeat("b", 65) },
+		"tenant":   func(m *wire.Quota) { m.Items[0].Tenant = strings.Repeat("b", 65) },
+		"negative": func(m *wire.Quota) { m.Items[0].Count = -1 },
+		"count":    func(m *wire.Quota) { m.Items[0].Count = MaxCount + 1 },
+		"extra":    func(m *wire.Quota) { m.Items[0].Extra = -1 },
+		"wait":     func(m *wire.Quota) { m.Items[0].Wait = MaxWait + 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			msg := sample
+			msg.Items = []wire.QuotaItem{sample.Items[0]}
+			change(&msg)
+			data, err := Encode(msg)
+			is.NoErr(err)
+			_, err = Decode(data)
+			is.True(errors.Is(err, ErrInvalid))
+		})
+	}
+}
+
+// TestCarry guards against messages that are lost or changed on a real socket, and against a carrier that ends on an invalid
+// datagram.
+func TestCarry(t *testing.T) {
+	is := is.New(t)
+	received := make(chan wire.Quota, 1)
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	to, err := Listen(loopback, WithDeliver(func(_ netip.AddrPort, msg wire.Quota) { received <- msg }))
+	is.NoErr(err)
+	from, err := Listen(loopback)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- to.Run(ctx) }()
+	_, err = from.conn.WriteToUDPAddrPort([]byte("invalid"), to.Addr())
+	is.NoErr(err)
+	is.NoErr(from.Send(to.Addr(), sample))
+	select {
+	case msg := <-received:
+		is.Equal(msg, sample)
+	case <-time.After(time.Minute):
+		t.Error("no message received")
+	}
+	cancel()
+	is.True(errors.Is(<-done, context.Canceled))
+	is.NoErr(from.conn.Close())
+}
+
+// FuzzDecode guards against datagrams that crash the process or are decoded to values out of range. The input is decoded as is,
+// and again with a valid checksum to reach the decoder.
+func FuzzDecode(f *testing.F) {
+	for _, kind := range []string{Ask, Allot, Decline, "other"} {
+		msg := sample
+		msg.Kind = kind
+		body, err := encoder.Marshal(msg)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+		body[len(body)/2] ^= 0x10
+		f.Add(body[:len(body)-3])
+	}
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		_, _ = Decode(body)
+		data := binary.BigEndian.AppendUint32(nil, crc32.Checksum(body, castagnoli))
+		msg, err := Decode(append(data, body...))
+		if err != nil {
+			return
+		}
+		is := is.New(t)
+		is.NoErr(check(msg))
+		_, err = encoder.Marshal(msg)
+		is.NoErr(err)
+	})
+}
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -496,6 +496,45 @@
 	Weight int `json:"weight"`
 }
 
+// Quota is one datagram between a daemon and a controller about the quotas of
+// tenants.
+type Quota struct {
+	// Batch of the tenants; only in asks.
+	Batch string `json:"batch"`
+
+	// One item for each tenant.
+	Items []QuotaItem `json:"items"`
+
+	// Ask, allot or decline.
+	Kind string `json:"kind"`
+
+	// Number of the ask, repeated by its answer.
+	Seq uint64 `json:"seq"`
+
+	// Number of controllers that the limits are divided among; only in allotments.
+	Voters int `json:"voters"`
+}
+
+// QuotaItem is the part of a quota datagram that concerns one tenant.
+type QuotaItem struct {
+	// In an ask, tokens for waiting calls. In an allotment, allotted tokens.
+	Count int `json:"count"`
+
+	// In an ask, further tokens for expected calls.
+	Extra int `json:"extra"`
+
+	// Version at which the limits of the tenant last changed, as the sender knows
+	// them.
+	Mod uint64 `json:"mod"`
+
+	// Name of the tenant.
+	Tenant string `json:"tenant"`
+
+	// In an allotment, the time until there is room if fewer tokens were allotted
+	// than calls wait; else 0.
+	Wait time.Duration `json:"wait"`
+}
+
 // Record is one durable write to the log.
 type Record struct {
 	// Index before the first entry of the file; used in its first record only.
--- /dev/null
+++ b/daemon/spender/errors.go
@@ -0,0 +1,28 @@
+package spender
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Errors of a Spender. The call must not be sent.
+var (
+	ErrOverLimit   = errors.New("tenant is over its limit")
+	ErrUnavailable = errors.New("no controller allots tokens")
+)
+
+// OverLimitError says when a tenant that is over its limit may call again. It wraps ErrOverLimit.
+type OverLimitError struct {
+	Wait time.Duration
+}
+
+// Error returns the message.
+func (e *OverLimitError) Error() string {
+	return fmt.Sprintf("%v for another %v", ErrOverLimit, e.Wait.Round(time.Millisecond))
+}
+
+// Unwrap returns ErrOverLimit.
+func (e *OverLimitError) Unwrap() error {
+	return ErrOverLimit
+}
