--- a/controller/allocator/allocator.go
+++ b/controller/allocator/allocator.go
@@ -9,17 +9,19 @@
 	"sync"
 	"time"
 
+	"bluebellhoist/core/apportioner"
 	"bluebellhoist/core/carrier"
 	"bluebellhoist/core/wire"
 )
 
 // Allocator holds the buckets of one controller. Its methods may be called concurrently.
 type Allocator struct {
+	bound apportioner.Bound
 	count func(batch, tenant string, asked, allotted int)
 
 	mu      sync.Mutex
 	share   share
-	part    float64 // share with which the buckets were refilled last
+	portion portion // by which the buckets are sized
 	batches map[string]*batch
 }
 
@@ -37,9 +39,9 @@
 	return func(a *Allocator) { a.count = count }
 }
 
-// New returns an allocator of a process that starts at the given time.
-func New(now time.Duration, opts ...Option) *Allocator {
-	a := &Allocator{share: newShare(now), batches: map[string]*batch{}, count: func(string, string, int, int) {}}
+// New returns an allocator of a process that starts at the given time, for limits with the given bound.
+func New(now time.Duration, bound apportioner.Bound, opts ...Option) *Allocator {
+	a := &Allocator{bound: bound, share: newShare(now), batches: map[string]*batch{}, count: func(string, string, int, int) {}}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -72,21 +74,21 @@
 	a.share.prove(start, now)
 }
 
-// settle refills all buckets with the share until now if the share has changed.
+// settle refills all buckets until now and resizes them if the portion of this controller has changed.
 func (a *Allocator) settle(now time.Duration) {
-	part, _ := a.share.current(now)
-	if part == a.part {
+	current := a.share.current(now)
+	if current == a.portion {
 		return
 	}
 	// A share that grew did so at some time before now, and one that shrinks does so now.
 	held := a.share.held(now)
 	for _, b := range a.batches {
 		for _, bucket := range b.buckets {
-			bucket.advance(held, a.part)
-			bucket.advance(held, part)
+			bucket.advance(held)
+			bucket.resize(a.bound, current)
 		}
 	}
-	a.part = part
+	a.portion = current
 }
 
 // Allot allots up to count tokens of a tenant for calls that wait, and up to extra tokens for expected calls. If it allots fewer
@@ -103,7 +105,7 @@
 // ready reports whether this controller may allot tokens.
 func (a *Allocator) ready(now time.Duration) bool {
 	a.settle(now)
-	return a.share.proven(now) && a.part > 0
+	return a.share.proven(now) && a.portion.share > 0
 }
 
 func (a *Allocator) allot(now time.Duration, batch string, item wire.QuotaItem) (granted int, wait time.Duration, ok bool) {
@@ -115,8 +117,8 @@
 	if b == nil || b.limit.Mod < item.Mod {
 		return 0, 0, false
 	}
-	b.advance(a.share.held(now), a.part)
-	granted, wait = b.allot(item.Count, item.Extra, a.part)
+	b.advance(a.share.held(now))
+	granted, wait = b.allot(item.Count, item.Extra)
 	a.count(batch, item.Tenant, item.Count, granted)
 	return granted, wait, true
 }
@@ -129,8 +131,7 @@
 	if !a.ready(now) {
 		return wire.Quota{Kind: carrier.Decline, Seq: ask.Seq}
 	}
-	_, voters := a.share.current(now)
-	answer := wire.Quota{Kind: carrier.Allot, Seq: ask.Seq, Voters: voters, Items: make([]wire.QuotaItem, 0, len(ask.Items))}
+	answer := wire.Quota{Kind: carrier.Allot, Seq: ask.Seq, Voters: a.portion.voters, Items: make([]wire.QuotaItem, 0, len(ask.Items))}
 	for _, item := range ask.Items {
 		granted, wait, _ := a.allot(now, ask.Batch, item)
 		answer.Items = append(answer.Items, wire.QuotaItem{Tenant: item.Tenant, Count: granted, Wait: wait})
@@ -148,6 +149,6 @@
 		return 0, false
 	}
 	b := known.buckets[tenant]
-	b.advance(a.share.held(now), a.part)
+	b.advance(a.share.held(now))
 	return b.content, true
 }
--- a/controller/allocator/bucket.go
+++ b/controller/allocator/bucket.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellhoist/core/apportioner"
 	"bluebellhoist/core/carrier"
 )
 
@@ -15,57 +16,57 @@
 )
 
 // Limit is the limit on the calls of one tenant over the whole mesh.
-type Limit struct {
-	Rate  float64 // calls per second
-	Burst float64 // calls beyond the rate
-	Mod   uint64  // version at which the limit last changed
-}
+type Limit = apportioner.Limit
 
 // bucket is the token bucket of one controller for one tenant. It starts empty.
 type bucket struct {
 	limit   Limit
+	rate    float64 // tokens per second
+	size    float64 // largest content
 	content float64
 	owed    float64       // tokens that were refused lately and not refilled since
 	at      time.Duration // held time at which content and owed were computed
 }
 
-// capacity returns the largest content at a share of the limit. A bucket of a small burst holds one token, since tokens are not
-// divided.
-func (b *bucket) capacity(share float64) float64 {
-	if share == 0 {
-		return 0
+// portion is what a controller may allot of every limit.
+type portion struct {
+	share  float64
+	voters int // number of controllers that the limits are divided among
+}
+
+// resize sets rate and size to a portion of the limit. The size is rounded up, since tokens are not divided.
+func (b *bucket) resize(bound apportioner.Bound, p portion) {
+	b.rate, b.size = 0, 0
+	if p.share > 0 {
+		b.rate, b.size = b.limit.Rate*p.share, bound.Capacity(b.limit, p.voters)*p.share+1
 	}
-	return max(1, b.limit.Burst*share)
+	b.content = min(b.content, b.size)
 }
 
 // advance refills the bucket until the given held time.
-func (b *bucket) advance(held time.Duration, share float64) {
-	if held > b.at {
-		refill := b.limit.Rate * share * (held - b.at).Seconds()
-		b.content += refill
-		b.owed = max(b.owed-refill, 0)
-		b.at = held
+func (b *bucket) advance(held time.Duration) {
+	if held <= b.at {
+		return
 	}
-	b.content = min(b.content, b.capacity(share))
+	refill := b.rate * (held - b.at).Seconds()
+	b.content = min(b.content+refill, b.size)
+	b.owed = max(b.owed-refill, 0)
+	b.at = held
 }
 
 // allot takes up to count tokens, and up to extra tokens of what the bucket holds beyond the part kept for waiting calls. If it
 // has fewer than count, it returns the time until there is room.
-func (b *bucket) allot(count, extra int, share float64) (granted int, wait time.Duration) {
+func (b *bucket) allot(count, extra int) (granted int, wait time.Duration) {
 	granted = min(count, int(b.content))
 	b.content -= float64(granted)
 	if granted == count {
-		spare := min(extra, max(0, int(b.content-extraShare*b.capacity(share))))
+		spare := min(extra, max(0, int(b.content-extraShare*b.size)))
 		b.content -= float64(spare)
 		return granted + spare, 0
 	}
 	// The refused calls return and use what is refilled, so a later ask has to wait until they have.
-	refill := b.limit.Rate * share
-	b.owed = min(b.owed+float64(count-granted), max(refill*maxWait.Seconds(), 1))
-	if refill <= 0 {
-		return granted, maxWait
-	}
-	return granted, waitFor((b.owed - b.content) / refill)
+	b.owed = min(b.owed+float64(count-granted), max(b.rate*maxWait.Seconds(), 1))
+	return granted, waitFor((b.owed - b.content) / b.rate)
 }
 
 // waitFor returns a number of seconds as a wait within the bounds.
--- a/controller/allocator/limits.go
+++ b/controller/allocator/limits.go
@@ -30,7 +30,7 @@
 		if limit.Mod <= known.version && known.buckets[tenant] != nil {
 			continue
 		}
-		known.set(tenant, limit, held, a.part)
+		known.set(tenant, limit, held).resize(a.bound, a.portion)
 	}
 	known.version = version
 	if limited < len(known.buckets) {
@@ -38,16 +38,16 @@
 	}
 }
 
-// set sets the limit of one tenant. The bucket is refilled by the old limit until now.
-func (b *batch) set(tenant string, limit Limit, held time.Duration, part float64) {
+// set sets the limit of one tenant and returns its bucket, which is refilled by the old limit until now.
+func (b *batch) set(tenant string, limit Limit, held time.Duration) *bucket {
 	known := b.buckets[tenant]
 	if known == nil {
-		b.buckets[tenant] = &bucket{limit: limit, at: held}
-		return
+		known = &bucket{at: held}
+		b.buckets[tenant] = known
 	}
-	known.advance(held, part)
+	known.advance(held)
 	known.limit = limit
-	known.advance(held, part)
+	return known
 }
 
 // retain removes the buckets of all tenants that have no limit any more.
--- a/controller/allocator/share.go
+++ b/controller/allocator/share.go
@@ -68,17 +68,17 @@
 	return min(now, s.until) - s.unheld
 }
 
-// current returns the share that may be allotted, and the largest number of voters of the memberships that it follows from.
-func (s *share) current(now time.Duration) (part float64, voters int) {
+// current returns what may be allotted: the smallest share of the memberships, and their largest number of voters.
+func (s *share) current(now time.Duration) portion {
 	s.prune(now)
-	part = 1
+	p := portion{share: 1}
 	for _, m := range s.memberships {
-		voters = max(voters, m.voters)
+		p.voters = max(p.voters, m.voters)
 		if !m.voting {
-			part = 0
+			p.share = 0
 		} else {
-			part = min(part, 1/float64(m.voters))
+			p.share = min(p.share, 1/float64(m.voters))
 		}
 	}
-	return part, voters
+	return p
 }
