Limit the calls of tenants over the whole mesh

A tenant's rate was stored but not enforced. Daemons now take a token for each arrival of a routed call of a tenant with a rate, and answer 429 with Retry-After over the limit and 503 with Retry-After if no controller allots tokens. Controllers allot tokens by datagrams on their own port and hold a lease that a barrier of the log renews. The replicator reports each membership as it takes effect, from which a controller derives its share. Without a tenant with a rate no socket is opened and no datagram sent.

--- a/controller/replicator/options.go
+++ b/controller/replicator/options.go
@@ -55,6 +55,12 @@
 	return func(r *Replicator) { r.restore = restore }
 }
 
+// WithMembership sets the function that gets each membership as it takes effect on this node. Skipped means that others may
+// have been in effect since the last one: the node has started or continues from a checkpoint. It runs on the goroutine of Run.
+func WithMembership(membership func(nodes []wire.Node, skipped bool)) Option {
+	return func(r *Replicator) { r.membership = membership }
+}
+
 // WithRandom sets the random source for election timeouts and request IDs. Request IDs must not repeat after a restart,
 // so the source needs a different seed after each restart.
 func WithRandom(source *rand.Rand) Option {
--- a/controller/replicator/replicator.go
+++ b/controller/replicator/replicator.go
@@ -28,16 +28,17 @@
 
 // Replicator runs one node of the replicated log.
 type Replicator struct {
-	store     *storer.Storer
-	self      wire.Node
-	seeds     []netip.AddrPort
-	maxVoters int
-	send      func(netip.AddrPort, wire.Packet)
-	apply     func(uint64, wire.Command) wire.Result
-	save      func() ([]byte, error)
-	restore   func([]byte) error
-	rand      *rand.Rand
-	log       hclog.Logger
+	store      *storer.Storer
+	self       wire.Node
+	seeds      []netip.AddrPort
+	maxVoters  int
+	send       func(netip.AddrPort, wire.Packet)
+	apply      func(uint64, wire.Command) wire.Result
+	save       func() ([]byte, error)
+	restore    func([]byte) error
+	membership func([]wire.Node, bool)
+	rand       *rand.Rand
+	log        hclog.Logger
 
 	inbox    chan wire.Packet
 	requests chan *request
@@ -57,12 +58,13 @@
 // required.
 func New(opts ...Option) *Replicator {
 	r := &Replicator{
-		log:      hclog.NewNullLogger(),
-		rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		inbox:    make(chan wire.Packet, inboxSize),
-		requests: make(chan *request, maxRequestsPerStep),
-		stopped:  make(chan struct{}),
-		pending:  map[uint64]*request{},
+		log:        hclog.NewNullLogger(),
+		membership: func([]wire.Node, bool) {},
+		rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		inbox:      make(chan wire.Packet, inboxSize),
+		requests:   make(chan *request, maxRequestsPerStep),
+		stopped:    make(chan struct{}),
+		pending:    map[uint64]*request{},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -84,6 +86,7 @@
 		if err := r.restore(cp.Data); err != nil {
 			return fmt.Errorf("%w: %w", ErrState, err)
 		}
+		r.membership(cp.Nodes, true)
 	}
 	if torn := r.store.TornBytes(); torn > 0 {
 		r.log.Warn("truncated a torn frame at the end of the log", "bytes", torn)
@@ -178,6 +181,7 @@
 		if err := r.restore(out.install.Data); err != nil {
 			return fmt.Errorf("%w: %w", ErrState, err)
 		}
+		r.membership(out.install.Nodes, true)
 	}
 	for _, item := range out.committed {
 		if err := r.applyEntry(item); err != nil {
@@ -217,6 +221,7 @@
 func (r *Replicator) applyEntry(item committedEntry) error {
 	if len(item.Nodes) > 0 {
 		r.log.Info("membership changed", "index", item.Index, "nodes", item.Nodes)
+		r.membership(item.Nodes, false)
 	}
 	if len(item.Data) == 0 {
 		return nil
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -24,6 +24,7 @@
 	"bluebellhoist/controller/registrar"
 	"bluebellhoist/controller/replicator"
 	"bluebellhoist/controller/storer"
+	"bluebellhoist/core/chronometer"
 	"bluebellhoist/core/connector"
 	"bluebellhoist/core/exchanger"
 	"bluebellhoist/core/exposer"
@@ -61,6 +62,7 @@
 	exchanger     *exchanger.Exchanger // nil without gossip
 	gossiper      *gossiper.Gossiper
 	watcher       *watcher.Watcher // nil without a settings file
+	quota         *quota           // nil without quotas
 	endpoints     []endpoint
 }
 
@@ -86,6 +88,9 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
+	if _, err := chronometer.Now(); err != nil && s.Quota.Enabled() {
+		return nil, fmt.Errorf("quotas need a clock that does not stop while the VM is suspended: %w", err)
+	}
 	if slices.Contains(s.Founders, s.Listen) {
 		if err := storer.InitFounder(s.Data, s.Listen, s.Founders); err != nil {
 			return nil, err
@@ -158,6 +163,7 @@
 		replicator.WithApply(func(_ uint64, cmd wire.Command) wire.Result { return r.registrar.Apply(cmd) }),
 		replicator.WithSave(r.registrar.Save),
 		replicator.WithRestore(r.registrar.Restore),
+		replicator.WithMembership(r.setMembership),
 		replicator.WithLogger(log.Named("replicator")),
 	)
 	r.distributor = distributor.New(
@@ -181,9 +187,19 @@
 		expirer.WithView(r.registrar.View),
 		expirer.WithLogger(log.Named("expirer")),
 	)
+	if s.Quota.Enabled() {
+		r.quota = r.newQuota(chronometer.New())
+	}
 	return r
 }
 
+// setMembership passes a membership of the replicated log to the quota.
+func (r *Runner) setMembership(nodes []wire.Node, skipped bool) {
+	if r.quota != nil {
+		r.quota.setMembership(nodes, skipped)
+	}
+}
+
 // run runs the node with its main endpoint on listener.
 func (r *Runner) run(ctx context.Context, listener net.Listener) error {
 	// The components must outlive ctx: they run until the planned stop is complete.
@@ -224,6 +240,9 @@
 	if r.gossiper != nil {
 		all = append(all, r.gossiper.Run, r.exchanger.Run)
 	}
+	if r.quota != nil {
+		all = append(all, r.quota.Run, r.quota.carrier.Run)
+	}
 	if r.watcher != nil {
 		all = append(all, r.watcher.Run)
 	}
--- a/controller/runner/settings.go
+++ b/controller/runner/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bluebellhoist/core/apportioner"
 	"bluebellhoist/core/loader"
 	"bluebellhoist/core/wire"
 )
@@ -31,6 +32,8 @@
 	Seeds     []netip.AddrPort `json:"seeds"`   // addresses of other gossip members
 	Grace     loader.Duration  `json:"grace"`   // time allowed for a planned stop; optional
 	Metrics   netip.AddrPort   `json:"metrics"` // additional address for the metrics; optional
+	// Quota limits the calls of tenants over the whole mesh; optional.
+	Quota apportioner.Settings `json:"quota"`
 }
 
 // bind returns the local address to listen on.
@@ -75,6 +78,9 @@
 	case hclog.LevelFromString(s.Level) == hclog.NoLevel:
 		return fmt.Errorf("%w: level %q is unknown", errSettings, s.Level)
 	}
+	if err := s.Quota.Check(s.MaxVoters); err != nil {
+		return fmt.Errorf("%w: %v", errSettings, err)
+	}
 	return nil
 }
 
--- a/core/carrier/carrier.go
+++ b/core/carrier/carrier.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
@@ -24,11 +25,15 @@
 // ErrTransport reports that a datagram could not be sent, or that the socket is closed.
 var ErrTransport = errors.New("quota transport failed")
 
-// Carrier sends and receives datagrams on one socket.
+// Carrier sends and receives datagrams on one socket, which it opens when it is needed first.
 type Carrier struct {
-	conn    *net.UDPConn
+	addr    netip.AddrPort
 	deliver func(from netip.AddrPort, msg wire.Quota)
 	log     hclog.Logger
+
+	mu     sync.Mutex
+	conn   *net.UDPConn  // nil until the socket is open
+	opened chan struct{} // closed once the socket is open
 }
 
 // Option configures a Carrier.
@@ -44,31 +49,49 @@
 	return func(c *Carrier) { c.log = log }
 }
 
-// Listen opens a socket at addr and returns its carrier, which the caller must run. WithDeliver is required.
-func Listen(addr netip.AddrPort, opts ...Option) (*Carrier, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrTransport, err)
-	}
-	c := &Carrier{conn: conn, log: hclog.NewNullLogger()}
+// New returns a carrier for a socket at addr. WithDeliver is required.
+func New(addr netip.AddrPort, opts ...Option) *Carrier {
+	c := &Carrier{addr: addr, log: hclog.NewNullLogger(), opened: make(chan struct{})}
 	for _, opt := range opts {
 		opt(c)
 	}
-	return c, nil
+	return c
 }
 
-// Addr returns the local address of the socket.
-func (c *Carrier) Addr() netip.AddrPort {
-	return c.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+// Open opens the socket if it is not open yet.
+func (c *Carrier) Open() error {
+	_, err := c.open()
+	return err
+}
+
+func (c *Carrier) open() (*net.UDPConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		return c.conn, nil
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.addr))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrTransport, err)
+	}
+	c.conn = conn
+	close(c.opened)
+	return conn, nil
 }
 
-// Run receives datagrams until ctx ends, and closes the socket.
+// Run receives datagrams from when the socket is open until ctx ends, and closes the socket.
 func (c *Carrier) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
+	select {
+	case <-c.opened:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	conn := c.conn
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	buf := make([]byte, MaxDatagram+1) // a larger datagram is invalid
 	for {
-		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -90,13 +113,17 @@
 	}
 }
 
-// Send sends one message.
+// Send sends one message. It opens the socket if necessary.
 func (c *Carrier) Send(to netip.AddrPort, msg wire.Quota) error {
 	data, err := Encode(msg)
 	if err != nil {
 		return err
 	}
-	if _, err := c.conn.WriteToUDPAddrPort(data, to); err != nil {
+	conn, err := c.open()
+	if err != nil {
+		return err
+	}
+	if _, err := conn.WriteToUDPAddrPort(data, to); err != nil {
 		return fmt.Errorf("%w: %v", ErrTransport, err)
 	}
 	bytesOut.Add(len(data))
--- a/core/carrier/carrier_test.go
+++ b/core/carrier/carrier_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"hash/crc32"
+	"net"
 	"net/netip"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/wire"
 )
@@ -42,7 +44,7 @@
 		"kind":     func(m *wire.Quota) { m.Kind = "other" },
 		"voters":   func(m *wire.Quota) { m.Voters = -1 },
 		"batch":    func(m *wire.Quota) { m.Batch = strings.Repeat("b", 65) },
-		"tenant":   func(m *wire.Quota) { m.Items[0].Tenant = strings.Repeat("b", 65) },
+		"tenant":   func(m *wire.Quota) { m.Items[0].Tenant = strings.Repeat("b", compiler.MaxTenantName+1) },
 		"negative": func(m *wire.Quota) { m.Items[0].Count = -1 },
 		"count":    func(m *wire.Quota) { m.Items[0].Count = MaxCount + 1 },
 		"extra":    func(m *wire.Quota) { m.Items[0].Extra = -1 },
@@ -67,16 +69,17 @@
 	is := is.New(t)
 	received := make(chan wire.Quota, 1)
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
-	to, err := Listen(loopback, WithDeliver(func(_ netip.AddrPort, msg wire.Quota) { received <- msg }))
-	is.NoErr(err)
-	from, err := Listen(loopback)
-	is.NoErr(err)
+	to := New(loopback, WithDeliver(func(_ netip.AddrPort, msg wire.Quota) { received <- msg }))
+	from := New(loopback)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- to.Run(ctx) }()
-	_, err = from.conn.WriteToUDPAddrPort([]byte("invalid"), to.Addr())
+	is.NoErr(to.Open())
+	is.NoErr(from.Open())
+	addr := to.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	_, err := from.conn.WriteToUDPAddrPort([]byte("invalid"), addr)
 	is.NoErr(err)
-	is.NoErr(from.Send(to.Addr(), sample))
+	is.NoErr(from.Send(addr, sample))
 	select {
 	case msg := <-received:
 		is.Equal(msg, sample)
@@ -116,3 +119,13 @@
 		is.NoErr(err)
 	})
 }
+
+// TestUnusedSocket guards against a socket that is open although nothing is sent, and a carrier that does not end without one.
+func TestUnusedSocket(t *testing.T) {
+	is := is.New(t)
+	c := New(netip.MustParseAddrPort("127.0.0.1:0"))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(errors.Is(c.Run(ctx), context.Canceled))
+	is.True(c.conn == nil)
+}
--- a/core/carrier/datagram.go
+++ b/core/carrier/datagram.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 	"time"
 
+	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/wire"
 )
@@ -26,10 +27,10 @@
 	// MaxWait is the longest wait that an allotment may state.
 	MaxWait = time.Second
 
-	checksumSize  = 4
-	maxNameLength = 64
-	maxItems      = 64
-	maxVoters     = 1 << 10
+	checksumSize   = 4
+	maxBatchLength = 64
+	maxItems       = 64
+	maxVoters      = 1 << 10
 )
 
 // ErrInvalid reports a datagram that cannot be encoded or decoded.
@@ -73,7 +74,7 @@
 	default:
 		return fmt.Errorf("%w: kind %q", ErrInvalid, msg.Kind)
 	}
-	if len(msg.Batch) > maxNameLength || len(msg.Items) > maxItems || msg.Voters < 0 || msg.Voters > maxVoters {
+	if len(msg.Batch) > maxBatchLength || len(msg.Items) > maxItems || msg.Voters < 0 || msg.Voters > maxVoters {
 		return fmt.Errorf("%w: value out of range", ErrInvalid)
 	}
 	for _, item := range msg.Items {
@@ -85,6 +86,6 @@
 }
 
 func validItem(item wire.QuotaItem) bool {
-	return len(item.Tenant) <= maxNameLength && item.Count >= 0 && item.Count <= MaxCount && item.Extra >= 0 && item.Extra <= MaxCount &&
+	return len(item.Tenant) <= compiler.MaxTenantName && item.Count >= 0 && item.Count <= MaxCount && item.Extra >= 0 && item.Extra <= MaxCount &&
 		item.Wait >= 0 && item.Wait <= MaxWait
 }
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -30,6 +30,9 @@
 	keyed         authorizer.Call
 	grant         authorizer.Grant // last grant; its tenant is that of the call
 
+	releaseToken func(used bool) // set while the call has a token that was not used
+	overQuota    bool            // the call was refused since its tenant is over its limit, or no controller allots tokens
+
 	noRetryReason string          // why the call was not retried, or empty
 	sent          int             // number of upstreams to which the call was sent
 	overBudget    int             // number of members that refused a retry because the retry budget is spent
@@ -41,12 +44,19 @@
 
 // run makes attempts at different members until one returns a final answer or no further attempt is allowed.
 func (c *call) run(ctx context.Context) *courier.Answer {
+	defer c.dropToken()
+	if err := c.takeToken(ctx); err != nil {
+		return c.overQuotaAnswer(ctx, err)
+	}
 	var err error
 	if c.firstKind, err = c.d.startCall(c.id, c.service); err != nil {
 		c.lastResult = deliverer.Result{Outcome: deliverer.NotRun, Reason: err.Error()}
 		return c.finalAnswer(ctx)
 	}
 	for c.mayAttempt(ctx) {
+		if err := c.takeToken(ctx); err != nil { // for a retry
+			return c.overQuotaAnswer(ctx, err)
+		}
 		member, report, err := c.pick(ctx)
 		if err != nil {
 			if len(c.attempted) == 0 {
@@ -123,6 +133,7 @@
 	result, attemptResult := c.send(ctx, member)
 	if result.Sent {
 		c.sent++
+		c.useToken()
 	}
 	if result.OverBudget {
 		c.overBudget++
@@ -249,6 +260,9 @@
 func (c *call) finish(ctx context.Context, answer *courier.Answer, took time.Duration) {
 	c.recordCall(answer.Status, took)
 	c.recordNoRetry()
+	if c.overQuota {
+		return // the spender logs a sample of these
+	}
 	succeeded := answer.Status < http.StatusInternalServerError
 	if succeeded && len(c.attempted) == 1 && c.d.firstAttemptSuccesses.Add(1)%logSampleInterval != 0 {
 		return
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
+	"bluebellhoist/daemon/spender"
 )
 
 const (
@@ -47,6 +48,7 @@
 	callerService func() string
 	startCall     func(id, service string) (budgeter.Kind, error)
 	authorizer    *authorizer.Authorizer
+	takeToken     func(ctx context.Context, tenant string, limit spender.Limit) (func(used bool), error) // nil without quotas
 	peers         *courier.Client
 	names         courier.HeaderNames
 	log           hclog.Logger
@@ -118,6 +120,12 @@
 	return func(d *Dispatcher) { d.authorizer = a }
 }
 
+// WithQuota sets the function that takes a token for a call of a tenant with a limit. The function that it returns takes whether
+// the call was sent to an upstream. Without quotas it is nil.
+func WithQuota(takeToken func(ctx context.Context, tenant string, limit spender.Limit) (func(used bool), error)) Option {
+	return func(d *Dispatcher) { d.takeToken = takeToken }
+}
+
 // WithDial sets the function that opens connections to other daemons, and its timeout.
 func WithDial(dial func(context.Context, netip.AddrPort) (net.Conn, error), timeout time.Duration) Option {
 	return func(d *Dispatcher) { d.peers = courier.New(courier.WithDial(dial, timeout)) }
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellhoist/core/chronometer"
 	"bluebellhoist/core/connector"
 	"bluebellhoist/daemon/announcer"
 	"bluebellhoist/daemon/authorizer"
@@ -28,7 +29,7 @@
 		subscriber.WithDiscovery(r.discoveredControllers),
 		subscriber.WithFolder(s.Data),
 		subscriber.WithDial(connector.New(connector.WithSource(s.Bind.Addr())).Dial),
-		subscriber.WithProofs(bootTime, func() bool { return r.settings.Load().Revoke > 0 }),
+		subscriber.WithProofs(chronometer.Now, func() bool { return r.settings.Load().Revoke > 0 }),
 		subscriber.WithLogger(r.log.Named("subscriber")),
 	)
 	r.authorizer = authorizer.New(authorizer.WithSnapshot(r.subscriber.Snapshot), authorizer.WithProof(r.isProven))
@@ -49,7 +50,7 @@
 	r.tallier = tallier.New(tallier.WithLogger(r.log.Named("tallier")))
 	r.budgeter = budgeter.New(
 		budgeter.WithLimits(func() budgeter.Limits { return r.settings.Load().Budget.limits() }),
-		budgeter.WithClock(newUptime()),
+		budgeter.WithClock(chronometer.New()),
 		budgeter.WithCount(r.tallier.Count),
 	)
 	r.forwarder = forwarder.New(
@@ -68,6 +69,9 @@
 		forwarder.WithHeaderNames(r.names),
 		forwarder.WithDialPeer(peers.Dial),
 	)
+	if s.Quota.Enabled() {
+		r.buildQuota(s)
+	}
 	r.buildRoutedComponents(s, peers)
 }
 
@@ -90,6 +94,7 @@
 		dispatcher.WithCallerService(func() string { return r.settings.Load().Service }),
 		dispatcher.WithStartCall(r.budgeter.StartCall),
 		dispatcher.WithAuthorizer(r.authorizer),
+		dispatcher.WithQuota(r.takeToken()),
 		dispatcher.WithDial(peers.Dial, peerDialTimeout),
 		dispatcher.WithHeaderNames(r.names),
 		dispatcher.WithLogger(r.log.Named("dispatcher")),
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os/signal"
 	"sync/atomic"
@@ -13,6 +14,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
 
+	"bluebellhoist/core/carrier"
+	"bluebellhoist/core/chronometer"
 	"bluebellhoist/core/connector"
 	"bluebellhoist/core/exchanger"
 	"bluebellhoist/core/gossiper"
@@ -29,6 +32,7 @@
 	"bluebellhoist/daemon/limiter"
 	"bluebellhoist/daemon/pipeliner"
 	"bluebellhoist/daemon/router"
+	"bluebellhoist/daemon/spender"
 	"bluebellhoist/daemon/subscriber"
 	"bluebellhoist/daemon/tallier"
 )
@@ -68,6 +72,8 @@
 	deliverer     *deliverer.Deliverer
 	dispatcher    *dispatcher.Dispatcher
 	pipeliner     *pipeliner.Server
+	spender       *spender.Spender // nil without quotas
+	carrier       *carrier.Carrier // nil without quotas
 	watcher       *watcher.Watcher // nil without a settings file
 	upstreamStart atomic.Int64     // announced start time of the local upstream, in milliseconds since the Unix epoch
 	stopping      atomic.Bool
@@ -97,6 +103,9 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
+	if _, err := chronometer.Now(); err != nil && s.Quota.Enabled() {
+		return nil, fmt.Errorf("quotas need a clock that does not stop while the VM is suspended: %w", err)
+	}
 	r := &Runner{log: log, names: courier.DefaultHeaderNames()}
 	for _, opt := range opts {
 		opt(r)
@@ -193,6 +202,9 @@
 		r.subscriber.Run, r.claimer.Run, r.gossiper.Run, r.exchanger.Run, r.announcer.Run, r.deliverer.Run, r.dispatcher.Run,
 		r.tallier.Run,
 	}
+	if r.carrier != nil {
+		components = append(components, r.carrier.Run)
+	}
 	if r.watcher != nil {
 		components = append(components, r.watcher.Run)
 	}
--- a/daemon/runner/settings.go
+++ b/daemon/runner/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bluebellhoist/core/apportioner"
 	"bluebellhoist/core/loader"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/subscriber"
@@ -36,6 +37,7 @@
 	ReportInterval loader.Duration         `json:"beat"`    // interval of the upstream's reports; optional
 	Revoke         loader.Duration         `json:"revoke"`  // maximum age of the proof that calls with a key need; 0 if they need none
 	Metrics        netip.AddrPort          `json:"metrics"` // additional address for the metrics; optional
+	Quota          apportioner.Settings    `json:"quota"`   // limits of the calls of tenants; optional
 }
 
 // Budget limits the retries of all daemons together.
@@ -99,5 +101,8 @@
 	case hclog.LevelFromString(s.Level) == hclog.NoLevel:
 		return fmt.Errorf("%w: level %q is unknown", errSettings, s.Level)
 	}
+	if err := s.Quota.Check(0); err != nil {
+		return fmt.Errorf("%w: %v", errSettings, err)
+	}
 	return nil
 }
--- a/daemon/spender/metrics.go
+++ b/daemon/spender/metrics.go
@@ -8,10 +8,8 @@
 )
 
 const (
-	// maxNamedTenants is the number of tenants with metrics of their own; the others share one.
+	// maxNamedTenants is the number of tenants with metrics of their own. The others share those without a name.
 	maxNamedTenants = 200
-	// otherTenants is the name in the metrics of the tenants without their own. It is not a valid name of a tenant.
-	otherTenants = "_other"
 	// refusalSample is the interval of the log sample: of the refusals of a tenant, the first and then one in refusalSample is
 	// logged.
 	refusalSample = 100
@@ -23,6 +21,7 @@
 type counter struct {
 	log     hclog.Logger
 	tenants map[string]*tenantCounters
+	other   *tenantCounters // of the tenants without their own
 }
 
 // tenantCounters holds the metrics of one tenant.
@@ -54,16 +53,20 @@
 	if t := c.tenants[name]; t != nil {
 		return t
 	}
-	if len(c.tenants) >= maxNamedTenants {
-		name = otherTenants
-		if t := c.tenants[name]; t != nil {
-			return t
-		}
+	if len(c.tenants) < maxNamedTenants {
+		c.tenants[name] = newTenantCounters(name)
+		return c.tenants[name]
 	}
+	if c.other == nil {
+		c.other = newTenantCounters("")
+	}
+	return c.other
+}
+
+func newTenantCounters(name string) *tenantCounters {
 	t := &tenantCounters{asked: metrics.GetOrCreateCounter(fmt.Sprintf(`bluebell_quota_asked_total{tenant=%q}`, name))}
 	for outcome, label := range outcomeNames {
 		t.outcomes[outcome] = metrics.GetOrCreateCounter(fmt.Sprintf(`bluebell_quota_calls_total{tenant=%q,outcome=%q}`, name, label))
 	}
-	c.tenants[name] = t
 	return t
 }
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -143,6 +143,15 @@
 	return s.snapshot.Load()
 }
 
+// Controller returns the controller that the daemon has a session with, or false without one.
+func (s *Subscriber) Controller() (Controller, bool) {
+	c := s.session.Load()
+	if c == nil {
+		return Controller{}, false
+	}
+	return c.controller, true
+}
+
 // Run puts the stored snapshot in effect and then follows the configuration until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.loadStored()
