--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -199,9 +199,13 @@
 }
 
 // leave withdraws the upstream and waits until its in-flight calls have ended and other members know of the leave. Until
-// then announcements are refused.
+// then announcements are refused. The leave of an earlier process does not withdraw the upstream.
 func (a *Announcer) leave(ctx context.Context, n sequence) error {
 	a.mu.Lock()
+	if a.current != nil && n.start != 0 && n.start < a.current.Start {
+		a.mu.Unlock()
+		return nil
+	}
 	if n.seq != 0 {
 		a.depart(wire.Departure{Upstream: wire.HashUpstream(a.announcedID()), Start: n.start, Seq: n.seq})
 	}
--- a/daemon/announcer/departure_test.go
+++ b/daemon/announcer/departure_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,3 +177,25 @@
 	requireReady(t, a, "j")
 	is.True(errors.Is(a.Report(t.Context(), newReport("j", 20, 4, false)), announcer.ErrStale))
 }
+
+// TestEarlierLeave guards against the deregistration of an earlier process that withdraws the current one.
+func TestEarlierLeave(t *testing.T) {
+	t.Run("report", func(t *testing.T) {
+		a, _ := memberOf()
+		is := is.New(t)
+		is.NoErr(a.Report(t.Context(), newReport("i", 20, 1, false)))
+		err := a.Report(t.Context(), announcer.Report{Upstream: wire.Upstream{ID: "i", Start: 10}, Leaving: true, Final: true})
+		is.True(errors.Is(err, announcer.ErrStale))
+		requireReady(t, a, "i")
+	})
+	t.Run("own API", func(t *testing.T) {
+		f := newFixture()
+		close(f.callsDone)
+		is := is.New(t)
+		is.Equal(f.put(`{"service": "payout", "address": "127.0.0.1:9000", "slots": 2, "conns": 4, "start": 20, "seq": 1}`), http.StatusNoContent)
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, httptest.NewRequest(http.MethodDelete, "/v1/upstream?start=10&seq=7", nil))
+		is.Equal(w.Code, http.StatusNoContent)
+		is.True(f.memberEntry().Ready)
+	})
+}
