Announcer: a report for an unknown service does not replace the upstream

Cause: a heartbeat for a service that is not in the configuration replaced a working upstream in the daemon's entry. While no configuration is in force, no service is known. Result: TestUnknownService.

--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -32,6 +32,7 @@
 	confirm      func(context.Context) error
 	recovered    <-chan struct{} // nil if nothing is recovered
 	drain        func(context.Context) error
+	hasService   func(string) bool
 	lifetime     time.Duration
 	log          hclog.Logger
 
@@ -72,6 +73,11 @@
 	return func(a *Announcer) { a.recovered = recovered }
 }
 
+// WithServices sets the function that reports whether the configuration has a service.
+func WithServices(has func(service string) bool) Option {
+	return func(a *Announcer) { a.hasService = has }
+}
+
 // WithDrain sets the function that waits until no call to the upstream is in flight.
 func WithDrain(drain func(context.Context) error) Option {
 	return func(a *Announcer) { a.drain = drain }
@@ -93,6 +99,7 @@
 		updateMember: func(func(*wire.Member)) {},
 		confirm:      func(context.Context) error { return nil },
 		drain:        func(context.Context) error { return nil },
+		hasService:   func(string) bool { return true },
 		lifetime:     DefaultLifetime,
 		log:          hclog.NewNullLogger(),
 	}
--- a/daemon/announcer/departure_test.go
+++ b/daemon/announcer/departure_test.go
@@ -199,3 +199,19 @@
 		is.True(f.memberEntry().Ready)
 	})
 }
+
+// TestUnknownService guards against a report for a service that the configuration does not have and that takes the place of
+// a working upstream.
+func TestUnknownService(t *testing.T) {
+	is := is.New(t)
+	a, _ := memberOf(announcer.WithServices(func(service string) bool { return service == "s" || service == "r" }))
+	other := newReport("j", 20, 1, false)
+	other.Upstream.Service = "unknown"
+	is.NoErr(a.Report(t.Context(), newReport("i", 10, 4, false)))
+	is.True(errors.Is(a.Report(t.Context(), other), announcer.ErrUnknownService))
+	is.NoErr(a.Report(t.Context(), newReport("i", 10, 5, false))) // its reports are still accepted
+	requireReady(t, a, "i")
+	other.Upstream.Service = "r"
+	is.NoErr(a.Report(t.Context(), other))
+	requireReady(t, a, "j")
+}
--- a/daemon/announcer/report.go
+++ b/daemon/announcer/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"bluebellhoist/core/wire"
@@ -11,6 +12,10 @@
 // ErrStale is returned for an announcement or report that arrives after a later one, or that an earlier process sent.
 var ErrStale = errors.New("message is out of date")
 
+// ErrUnknownService is returned for a report that names a service which the configuration does not have, while an upstream
+// of another service is announced.
+var ErrUnknownService = errors.New("service is not in the configuration")
+
 // Report is a status report of the local upstream.
 type Report struct {
 	Upstream wire.Upstream
@@ -74,6 +79,9 @@
 		a.applyLeave(r, now)
 		return nil
 	}
+	if err := a.checkService(r.Upstream.Service); err != nil {
+		return err
+	}
 	a.lastReport = newReportID(r)
 	return a.accept(r.Upstream, r.Seq, now)
 }
@@ -131,6 +139,22 @@
 	a.depart(a.lastReport.departure())
 }
 
+// checkService refuses a report for a service that the configuration does not have if it would replace the announced upstream
+// of another service. The caller holds the lock.
+func (a *Announcer) checkService(service string) error {
+	current := ""
+	switch {
+	case a.current != nil:
+		current = a.current.Service
+	case a.held != nil:
+		current = a.held.upstream.Service
+	}
+	if current == "" || current == service || a.hasService(service) {
+		return nil
+	}
+	return fmt.Errorf("%w: %q, while %q is announced", ErrUnknownService, service, current)
+}
+
 // MarkUnreachable withdraws an upstream that refuses connections until it is announced again.
 func (a *Announcer) MarkUnreachable(u wire.Upstream) {
 	a.mu.Lock()
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -41,6 +41,7 @@
 		announcer.WithMemberUpdate(r.updateMember),
 		announcer.WithConfirm(r.gossiper.Confirm),
 		announcer.WithRecovered(r.gossiper.Recovered()),
+		announcer.WithServices(r.hasService),
 		announcer.WithDrain(r.drainUpstream),
 		announcer.WithLifetime(announcementLifetime(s)),
 		announcer.WithLogger(r.log.Named("announcer")),
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -135,6 +135,16 @@
 	return r.announcer.Report(ctx, report)
 }
 
+// hasService reports whether the configuration in force has a service.
+func (r *Runner) hasService(name string) bool {
+	inEffect := r.subscriber.Snapshot()
+	if inEffect == nil {
+		return false
+	}
+	_, ok := inEffect.Service(name)
+	return ok
+}
+
 // upstreamConns returns how many connections an upstream of the service accepts.
 func (r *Runner) upstreamConns(service string) int {
 	if inEffect := r.subscriber.Snapshot(); inEffect != nil {
