--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -32,6 +32,7 @@
 	confirm      func(context.Context) error
 	recovered    <-chan struct{} // nil if nothing is recovered
 	drain        func(context.Context) error
+	hasService   func(string) bool
 	lifetime     time.Duration
 	log          hclog.Logger
 
@@ -72,6 +73,11 @@
 	return func(a *Announcer) { a.recovered = recovered }
 }
 
+// WithServices sets the function that reports whether the configuration has a service.
+func WithServices(has func(service string) bool) Option {
+	return func(a *Announcer) { a.hasService = has }
+}
+
 // WithDrain sets the function that waits until no call to the upstream is in flight.
 func WithDrain(drain func(context.Context) error) Option {
 	return func(a *Announcer) { a.drain = drain }
@@ -93,6 +99,7 @@
 		updateMember: func(func(*wire.Member)) {},
 		confirm:      func(context.Context) error { return nil },
 		drain:        func(context.Context) error { return nil },
+		hasService:   func(string) bool { return true },
 		lifetime:     DefaultLifetime,
 		log:          hclog.NewNullLogger(),
 	}
@@ -199,9 +206,13 @@
 }
 
 // leave withdraws the upstream and waits until its in-flight calls have ended and other members know of the leave. Until
-// then announcements are refused.
+// then announcements are refused. The leave of an earlier process does not withdraw the upstream.
 func (a *Announcer) leave(ctx context.Context, n sequence) error {
 	a.mu.Lock()
+	if a.current != nil && n.start != 0 && n.start < a.current.Start {
+		a.mu.Unlock()
+		return nil
+	}
 	if n.seq != 0 {
 		a.depart(wire.Departure{Upstream: wire.HashUpstream(a.announcedID()), Start: n.start, Seq: n.seq})
 	}
