Count a controller as fresh only if it holds the acknowledged changes

Cause: a controller told its daemons that it was fresh as soon as it had heard from a leader with a majority. Such a controller may lack entries: while it receives a checkpoint or catches up after a restart, and as a new leader until an entry of its own term is committed. Its daemons stayed at an old version for as long as that lasted, since only a controller that is not fresh is left.

Change: the core records the tick before which every acknowledged entry is committed here. An append proves it if the node has committed up to the leader's commit index, and the entry there is of the leader's term. Heartbeats to daemons use that time. Proposals and reads still need contact only.

Result: the simulation checks the claim of each node at each step.

--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -107,6 +107,8 @@
 	pendingRounds    []heartbeatRound // rounds that no majority has acknowledged yet
 	quorumTick       uint64           // latest tick at which a leader is known to have had a majority
 	hasQuorumTick    bool
+	currentTick      uint64 // every entry acknowledged before this tick is committed here
+	hasCurrentTick   bool
 	nextHeartbeat    uint64
 	lastCommandTime  int64  // never goes back; same unit as now
 	transferTarget   string // ID of the node that leadership is transferred to; empty if none
@@ -178,6 +180,7 @@
 func (c *core) flush() output {
 	if c.role == leader {
 		c.advanceCommit()
+		c.recordOwnCurrency()
 		c.startReadRound()
 		c.replicate()
 	}
--- a/controller/replicator/election.go
+++ b/controller/replicator/election.go
@@ -40,12 +40,31 @@
 	}
 	c.lead, c.lastContact = p.From, c.tick
 	c.resetElectionTimer()
-	// The packet may have been delayed for long, so its arrival time proves nothing. The leader sent it after it had
-	// received p.Clock, a tick of this node that it echoes, and had a majority p.Age before it sent the packet. One
-	// more tick covers the fraction that the leader's tick count leaves out.
+	if tick, ok := c.majorityTick(p); ok && tick >= c.quorumTick {
+		c.quorumTick, c.hasQuorumTick = tick, true
+	}
+}
+
+// majorityTick returns a tick of this node at or after which the leader had a majority, as a packet from the leader proves,
+// and false if it proves none since the start of this node.
+//
+// The packet may have been delayed for long, so its arrival time proves nothing. The leader sent it after it had received
+// p.Clock, a tick of this node that it echoes, and had a majority p.Age before it sent the packet. One more tick covers the
+// fraction that the leader's tick count leaves out.
+func (c *core) majorityTick(p wire.Packet) (uint64, bool) {
 	age := uint64(p.Age/Tick) + 1
-	if p.Clock <= c.tick && p.Clock >= c.startTick+age && p.Clock-age >= c.quorumTick {
-		c.quorumTick, c.hasQuorumTick = p.Clock-age, true
+	return p.Clock - age, p.Clock <= c.tick && p.Clock >= c.startTick+age
+}
+
+// recordCurrency records that this node has committed every entry that was acknowledged before the leader had the majority
+// that an append proves. That needs the commit index of the leader, and an entry of its own term there: before that the
+// index may be behind commits that the previous leader acknowledged.
+func (c *core) recordCurrency(p wire.Packet) {
+	if term, ok := c.log.term(p.Commit); !ok || term != p.Term || c.log.commit < p.Commit {
+		return
+	}
+	if tick, ok := c.majorityTick(p); ok && tick >= c.currentTick {
+		c.currentTick, c.hasCurrentTick = tick, true
 	}
 }
 
--- a/controller/replicator/faults_test.go
+++ b/controller/replicator/faults_test.go
@@ -66,6 +66,7 @@
 					s.run(20_000)
 					is.True(s.heal())                                 // the cluster recovers
 					is.True(s.ackCount > 100 && s.barrierCount > 100) // the run exercised the cluster
+					is.True(s.skew || s.currentClaims > 1000)
 					is.True(c.lostDisk == 0 || s.replacedDisks > 1 && s.installCount > 0)
 				})
 			}
--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -118,6 +118,13 @@
 	return term == c.term
 }
 
+// recordOwnCurrency records that this leader has committed every entry that was acknowledged before it last had a majority.
+func (c *core) recordOwnCurrency() {
+	if c.ownTermCommitted() {
+		c.currentTick, c.hasCurrentTick = max(c.currentTick, c.quorumTick), true
+	}
+}
+
 // broadcastHeartbeat starts a heartbeat round and sends a heartbeat to every peer.
 func (c *core) broadcastHeartbeat() {
 	c.lastRound++
--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -19,6 +19,12 @@
 	outgoing
 }
 
+// simAck is the highest index that was acknowledged at a step.
+type simAck struct {
+	step  int
+	index uint64
+}
+
 // sim runs nodes on one goroutine, with a network and faults that are determined by a seed.
 type sim struct {
 	t              *testing.T
@@ -43,6 +49,8 @@
 	knownVoters    map[string]bool      // identities that were ever voters in the log of a leader
 	digests        map[uint64][2]uint64 // digest of all commands before and after an entry, by index
 	ackedIndex     uint64               // highest index acknowledged to a caller
+	acks           []simAck             // growth of ackedIndex
+	currentClaims  int                  // steps at which a node claimed to be current
 	ackCount       int
 	barrierCount   int
 	replacedDisks  int
@@ -157,7 +165,10 @@
 }
 
 func (s *sim) ack(index uint64) {
-	s.ackedIndex = max(s.ackedIndex, index)
+	if index > s.ackedIndex {
+		s.ackedIndex = index
+		s.acks = append(s.acks, simAck{s.now, index})
+	}
 	s.ackCount++
 }
 
--- a/controller/replicator/simcheck_test.go
+++ b/controller/replicator/simcheck_test.go
@@ -1,7 +1,9 @@
 package replicator
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"bluebellhoist/core/wire"
 )
@@ -39,6 +41,29 @@
 	}
 }
 
+// checkCurrent guards against a node that counts as current, so that daemons stay with it, although it lacks an entry that
+// was acknowledged before the time that it claims.
+func (s *sim) checkCurrent(n *simNode) {
+	c := n.core
+	if s.skew || !c.hasCurrentTick {
+		return
+	}
+	claimed := n.startStep + int(c.currentTick-c.startTick)*stepsPerTick
+	s.currentClaims++
+	if before := s.ackedBefore(claimed); c.log.applied < before {
+		s.t.Fatalf("step %d: %s claims to be current as of step %d, but has applied %d of %d entries acknowledged before", s.now, n.self.ID, claimed, c.log.applied, before)
+	}
+}
+
+// ackedBefore returns the highest index that was acknowledged to a caller before a step.
+func (s *sim) ackedBefore(step int) uint64 {
+	i, _ := slices.BinarySearchFunc(s.acks, step, func(a simAck, step int) int { return cmp.Compare(a.step, step) })
+	if i == 0 {
+		return 0
+	}
+	return s.acks[i-1].index
+}
+
 func (s *sim) checkInvariants(n *simNode) {
 	c := n.core
 	if c.invariantErr != nil {
--- a/controller/replicator/simnode_test.go
+++ b/controller/replicator/simnode_test.go
@@ -85,6 +85,7 @@
 	}
 	if n.core != nil {
 		s.checkInvariants(n)
+		s.checkCurrent(n)
 		s.compact(n)
 	}
 }
--- a/controller/replicator/status.go
+++ b/controller/replicator/status.go
@@ -16,7 +16,9 @@
 	Commit   uint64
 	Applied  uint64
 	QuorumAt time.Time // a leader had a majority at or after this time; zero if unknown
-	Nodes    []wire.Node
+	// CurrentAt is a time before which every acknowledged command is applied here; zero if unknown.
+	CurrentAt time.Time
+	Nodes     []wire.Node
 }
 
 // Status returns the current status. It may be called from any goroutine.
@@ -38,6 +40,9 @@
 	if c.hasQuorumTick {
 		s.QuorumAt = r.started.Add(time.Duration(c.quorumTick-c.startTick) * Tick)
 	}
+	if c.hasCurrentTick {
+		s.CurrentAt = r.started.Add(time.Duration(c.currentTick-c.startTick) * Tick)
+	}
 	old := r.status.Swap(&s)
 	if old != nil && (old.Role != s.Role || old.Term != s.Term || old.Leader.ID != s.Leader.ID) {
 		r.log.Info("role changed", "role", s.Role, "term", s.Term, "leader", s.Leader.Name)
--- a/controller/runner/cluster_test.go
+++ b/controller/runner/cluster_test.go
@@ -27,6 +27,7 @@
 	random   *rand.Rand
 	nodes    []*node
 	isolated map[int]bool // nodes that exchange no packets with others
+	withheld map[int]bool // nodes that get no packets with entries
 }
 
 // node is a controller that may be down, in which case runner is nil.
@@ -43,7 +44,7 @@
 
 // newCluster starts a cluster whose packet faults follow from seed.
 func newCluster(t *testing.T, seed uint64) *cluster {
-	c := &cluster{t: t, folder: t.TempDir(), random: rand.New(rand.NewPCG(seed, seed)), isolated: map[int]bool{}}
+	c := &cluster{t: t, folder: t.TempDir(), random: rand.New(rand.NewPCG(seed, seed)), isolated: map[int]bool{}, withheld: map[int]bool{}}
 	var peers []netip.AddrPort
 	for i := range clusterSize {
 		peers = append(peers, address(i))
@@ -126,11 +127,17 @@
 	c.isolated[i] = on
 }
 
+func (c *cluster) withholdEntries(i int, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.withheld[i] = on
+}
+
 // send delivers a packet after a random delay of up to 20 ms. It drops one packet in fifty and duplicates one in fifty.
 func (c *cluster) send(from, to int, p wire.Packet) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isolated[from] || c.isolated[to] || c.random.IntN(50) == 0 {
+	if c.isolated[from] || c.isolated[to] || c.withheld[to] && len(p.Entries) > 0 || c.random.IntN(50) == 0 {
 		return
 	}
 	c.deliver(to, p)
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -33,7 +33,8 @@
 )
 
 const (
-	// maxContactAge is the time since the last contact with a majority after which a node no longer counts as fresh.
+	// maxContactAge is the time since the last contact with a majority after which a node no longer counts as in contact, and
+	// the age of the oldest change that it may lack to count as fresh.
 	maxContactAge = 1200 * time.Millisecond
 	// stopLimit bounds a planned stop without a configured grace. A stop cuts off no calls, since none pass through a
 	// controller.
@@ -256,7 +257,7 @@
 
 // propose runs a command through the replicated log. Without contact to a majority it fails immediately.
 func (r *Runner) propose(ctx context.Context, cmd wire.Command) (wire.Result, error) {
-	if !r.fresh() {
+	if !r.inContact() {
 		return wire.Result{}, fmt.Errorf("%w", administrator.ErrUnavailable)
 	}
 	return r.replicator.Propose(ctx, cmd)
@@ -273,7 +274,7 @@
 
 // Read returns a view that contains every change accepted before the call.
 func (r *Runner) Read(ctx context.Context) (*registrar.View, error) {
-	if !r.fresh() {
+	if !r.inContact() {
 		return nil, ErrUnavailable
 	}
 	if err := r.replicator.Barrier(ctx); err != nil {
--- a/controller/runner/status.go
+++ b/controller/runner/status.go
@@ -6,8 +6,13 @@
 	"bluebellhoist/core/presenter"
 )
 
-// fresh reports whether the node heard from a leader with a majority within maxContactAge.
+// fresh reports whether the node holds every change that was acknowledged more than maxContactAge ago.
 func (r *Runner) fresh() bool {
+	return time.Since(r.replicator.Status().CurrentAt) < maxContactAge
+}
+
+// inContact reports whether the node heard from a leader with a majority within maxContactAge. Its view may be behind.
+func (r *Runner) inContact() bool {
 	return time.Since(r.replicator.Status().QuorumAt) < maxContactAge
 }
 
