Keep at most two unacknowledged updates on a session

Cause: a controller wrote every version to the connection of a daemon at once. On a slow link, or with a daemon that gets little CPU time, the versions wait in the socket buffers, which hold seconds of a link of 2 Mbit/s. The session is alive, its heartbeats are behind the updates, and the daemon falls behind further.

Change: a third update waits until the daemon has acknowledged one of the two before, and then holds all changes since.

Result: TestSlowDaemon acknowledges nothing during 50 changes. It got 50 updates before and gets two now.

--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -19,6 +19,10 @@
 	"bluebellhoist/core/wire"
 )
 
+// MaxUnacknowledged is the number of updates in flight on a session. With a second one the link is busy while the first is
+// applied. More would wait in the buffers of the connection, and a daemon on a slow link would fall behind by all of them.
+const MaxUnacknowledged = 2
+
 const (
 	// barrierTimeout bounds the linearizable read before the first snapshot of a daemon.
 	barrierTimeout = 5 * time.Second
--- a/controller/distributor/distributor_test.go
+++ b/controller/distributor/distributor_test.go
@@ -173,6 +173,35 @@
 	is.New(t).True(frame.Full == nil)
 }
 
+// TestSlowDaemon guards against a daemon on a slow link, or with little CPU time, that falls behind further with each change,
+// because the controller queues every version on the connection.
+func TestSlowDaemon(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.applyChange(t, "first", "a")
+	d := f.connect(t, wire.Hello{Name: "d1", Barrier: true})
+	first := d.receive()
+	held, err := compiler.New(first.Full.Batch, first.Full.Sum)
+	is.NoErr(err)
+	const changes = 50
+	updates := 1
+	for i := range changes {
+		f.applyChange(t, fmt.Sprint(i), "a", fmt.Sprint("b", i))
+		// The reply shows that the session has seen the change. The daemon acknowledges no update meanwhile.
+		d.send(wire.Frame{ID: 1, Claim: &wire.Claim{}})
+		for frame := d.receive(); frame.ID == 0; frame = d.receive() {
+			held, err = held.Merge(*frame.Delta)
+			is.NoErr(err)
+			updates++
+		}
+	}
+	is.True(updates <= distributor.MaxUnacknowledged)
+	d.send(wire.Frame{Ack: &wire.Ack{Version: held.Version(), Sum: held.Sum()}})
+	held, err = held.Merge(*d.receive().Delta)
+	is.NoErr(err)
+	is.Equal(held.Version(), uint64(1+changes)) // one update holds all changes
+}
+
 // TestNewerDaemon guards against a controller that lags behind and sends an older version than the daemon holds.
 func TestNewerDaemon(t *testing.T) {
 	f := newFixture(t)
--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,8 @@
 	hello         atomic.Pointer[wire.Hello] // last hello received
 	heldVersion   atomic.Uint64              // version in effect on the daemon
 	lastUpdate    atomic.Pointer[sentUpdate]
+	acked         chan struct{}   // from the reader to the writer, after heldVersion has grown
+	unacked       []uint64        // versions sent that the daemon has not acknowledged, in order; used by the writer only
 	hellos        chan wire.Hello // from the reader to the writer
 	replies       chan wire.Frame // from the proposals to the writer
 	proposalSlots chan struct{}   // semaphore that bounds the proposals in flight
@@ -38,6 +41,7 @@
 	return &session{
 		distributor:   d,
 		conn:          conn,
+		acked:         make(chan struct{}, 1),
 		hellos:        make(chan wire.Hello),
 		replies:       make(chan wire.Frame),
 		proposalSlots: make(chan struct{}, maxProposals),
@@ -80,6 +84,10 @@
 		case frame.Ack != nil:
 			s.heldVersion.Store(frame.Ack.Version)
 			s.observeAck(frame.Ack.Version)
+			select {
+			case s.acked <- struct{}{}:
+			default: // the writer has yet to see an earlier one
+			}
 		case frame.Claim != nil, frame.Release != nil, frame.Finish != nil:
 			select {
 			case s.proposalSlots <- struct{}{}:
@@ -140,6 +148,7 @@
 		}
 		select {
 		case <-view.Changed():
+		case <-s.acked:
 		case hello = <-s.hellos:
 			if sent, err = s.handleHello(ctx, hello); err != nil {
 				return err
@@ -160,8 +169,9 @@
 }
 
 // handleHello waits for the barrier if the hello asks for one, confirms the session with a heartbeat and returns the version
-// that the daemon holds.
+// that the daemon holds. Updates that were sent before no longer count: the daemon has rejected one of them.
 func (s *session) handleHello(ctx context.Context, hello wire.Hello) (uint64, error) {
+	s.unacked = nil
 	if !hello.Barrier {
 		return hello.Held, s.conn.Send(ctx, wire.Frame{Heartbeat: &wire.Heartbeat{Version: hello.Held, Fresh: s.distributor.fresh()}})
 	}
@@ -196,8 +206,14 @@
 }
 
 // sendUpdate sends the update that the daemon lacks, if any, and returns the version last sent. The daemon may reject the
-// update and ask for a full snapshot with another hello.
+// update and ask for a full snapshot with another hello. While MaxUnacknowledged updates are unacknowledged it sends none:
+// the next one then holds all changes since.
 func (s *session) sendUpdate(ctx context.Context, hello wire.Hello, sent uint64) (uint64, error) {
+	held := s.heldVersion.Load()
+	s.unacked = slices.DeleteFunc(s.unacked, func(version uint64) bool { return version <= held })
+	if len(s.unacked) >= MaxUnacknowledged {
+		return sent, nil
+	}
 	view := s.distributor.view()
 	data, err := s.distributor.cache.get(view, frameKey{hello.Batch, sent, hello.Full && sent == hello.Held})
 	if err != nil || data == nil {
@@ -208,6 +224,7 @@
 	if err := s.conn.SendEncoded(ctx, data); err != nil {
 		return sent, err
 	}
+	s.unacked = append(s.unacked, batch.Version)
 	return batch.Version, nil
 }
 
