--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -247,12 +247,13 @@
 }
 
 // sendProof answers an ask after the read that covers it: with the updates that the daemon lacks and then a heartbeat with the
-// newest version of the batch. It returns the version last sent.
+// newest version of the batch. It returns the version last sent. It gives no answer while an update has to wait for
+// acknowledgements; the daemon asks again.
 func (s *session) sendProof(ctx context.Context, hello wire.Hello, sent, ask uint64) (uint64, error) {
 	// The view must be read after the linearizable read and before the updates are sent, which then contain its versions.
 	newest, _ := s.distributor.view().Batch(hello.Batch)
 	sent, err := s.sendUpdate(ctx, hello, sent)
-	if err != nil {
+	if err != nil || sent < newest.Version {
 		return sent, err
 	}
 	heartbeat := &wire.Heartbeat{Version: sent, Fresh: s.distributor.fresh(), Ask: ask, Newest: newest.Version}
--- a/controller/runner/proof_test.go
+++ b/controller/runner/proof_test.go
@@ -119,9 +119,10 @@
 	conn.SetReadLimit(encoder.MaxMessage)
 	f := framer.New(conn)
 	sent := make(chan struct{})
+	acks := make(chan uint64, 1)
 	go func() {
 		defer close(sent)
-		sendAsks(ctx, f, l)
+		sendAsks(ctx, f, l, acks)
 	}()
 	var updated uint64
 	for {
@@ -132,8 +133,10 @@
 		switch {
 		case frame.Full != nil:
 			updated = frame.Full.Batch.Version
+			acknowledge(acks, updated)
 		case frame.Delta != nil:
 			updated = frame.Delta.Version
+			acknowledge(acks, updated)
 		case frame.Heartbeat != nil && frame.Heartbeat.Ask != 0:
 			l.check(c.t, *frame.Heartbeat, updated, running.replicator.Status().Term)
 		}
@@ -142,13 +145,24 @@
 	<-sent
 }
 
-// sendAsks sends a hello and then asks for proofs until ctx ends.
-func sendAsks(ctx context.Context, f *framer.Framer, l *ledger) {
+// acknowledge replaces the acknowledgement that was not sent yet.
+func acknowledge(acks chan uint64, version uint64) {
+	select {
+	case <-acks:
+	default:
+	}
+	acks <- version
+}
+
+// sendAsks sends a hello and then asks for proofs and acknowledges updates until ctx ends.
+func sendAsks(ctx context.Context, f *framer.Framer, l *ledger, acks <-chan uint64) {
 	frame := wire.Frame{Hello: &wire.Hello{Name: "d", Domain: "f", Batch: "b", Stay: true, Barrier: true}}
 	for f.Send(ctx, frame) == nil {
-		frame = wire.Frame{Heartbeat: &wire.Heartbeat{Ask: l.ask()}}
 		select {
+		case version := <-acks:
+			frame = wire.Frame{Ack: &wire.Ack{Version: version}}
 		case <-time.After(framer.HeartbeatInterval / 10):
+			frame = wire.Frame{Heartbeat: &wire.Heartbeat{Ask: l.ask()}}
 		case <-ctx.Done():
 			return
 		}
