--- a/controller/distributor/prover_test.go
+++ b/controller/distributor/prover_test.go
@@ -40,7 +40,7 @@
 	return frame
 }
 
-// receiveProof returns the next answer to an ask, and the version of the last update that was received before it.
+// receiveProof acknowledges updates and returns the next answer to an ask, and the version of the last update before it.
 func (d *fakeDaemon) receiveProof() (proof wire.Heartbeat, updated uint64) {
 	d.t.Helper()
 	for {
@@ -48,8 +48,10 @@
 		switch {
 		case frame.Full != nil:
 			updated = frame.Full.Batch.Version
+			d.send(wire.Frame{Ack: &wire.Ack{Version: updated}})
 		case frame.Delta != nil:
 			updated = frame.Delta.Version
+			d.send(wire.Frame{Ack: &wire.Ack{Version: updated}})
 		case frame.Heartbeat != nil && frame.Heartbeat.Ask != 0:
 			return *frame.Heartbeat, updated
 		}
