Limiter: a place in the order for each rank, and calls of running calls first

Cause: ranks 0 and 1 shared a class, and so did all ranks above 2. Classes got fixed weights of the slots, whatever their number of calls, so that urgent calls which cannot wait were refused while others were served. Calls of running calls were refused like others, and the run of their parent was lost. Change: a queue for each rank (at most 64), order by rank with a floor for each rank, calls of running calls first. A rank that is served less than it must be is owed calls, which may wait until their deadline.

--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -13,6 +13,7 @@
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
+	"bluebellhoist/daemon/limiter"
 )
 
 const (
@@ -39,7 +40,7 @@
 type Call struct {
 	Request     *courier.Request
 	Service     string
-	Class       string
+	Class       limiter.Class
 	Deadline    time.Time
 	Target      time.Time     // the answer should arrive by then; zero for none
 	Route       string        // name of the route; calls on one route take about the same time
@@ -75,7 +76,7 @@
 // Deliverer sends calls to the local upstream.
 type Deliverer struct {
 	upstream      func() (wire.Upstream, bool)
-	acquire       func(ctx context.Context, class string, latest time.Time) (func(SlotOutcome), error)
+	acquire       func(ctx context.Context, class limiter.Class, latest time.Time) (func(SlotOutcome), error)
 	onUnreachable func(wire.Upstream)
 	load          func() int
 	checkBudget   func(budgeter.Arrival) error
@@ -95,7 +96,7 @@
 }
 
 // WithAcquire sets the function that acquires a slot. If none is free, it waits until latest.
-func WithAcquire(acquire func(ctx context.Context, class string, latest time.Time) (func(SlotOutcome), error)) Option {
+func WithAcquire(acquire func(ctx context.Context, class limiter.Class, latest time.Time) (func(SlotOutcome), error)) Option {
 	return func(d *Deliverer) { d.acquire = acquire }
 }
 
--- a/daemon/deliverer/deliverer_test.go
+++ b/daemon/deliverer/deliverer_test.go
@@ -14,6 +14,7 @@
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
+	"bluebellhoist/daemon/limiter"
 )
 
 // fixture is a deliverer in front of a test upstream.
@@ -35,7 +36,7 @@
 	names.Attempt, names.Deadline, names.Target, names.NotRun, names.Signature = "Attempt", "Deadline", "Target", "Not-Run", "Proof"
 	f.Deliverer = deliverer.New(
 		deliverer.WithUpstream(func() (wire.Upstream, bool) { return f.upstream, f.present }),
-		deliverer.WithAcquire(func(context.Context, string, time.Time) (func(deliverer.SlotOutcome), error) {
+		deliverer.WithAcquire(func(context.Context, limiter.Class, time.Time) (func(deliverer.SlotOutcome), error) {
 			return func(deliverer.SlotOutcome) {}, nil
 		}),
 		deliverer.WithUnreachable(func(wire.Upstream) { f.unreachable++ }),
@@ -47,7 +48,7 @@
 func newCall(repeatable bool) deliverer.Call {
 	return deliverer.Call{
 		Request: &courier.Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Attempt": {"1"}}},
-		Service: "s", Class: "normal", Deadline: time.Now().Add(time.Minute), Retryable: repeatable,
+		Service: "s", Class: limiter.Class{Rank: limiter.NormalRank}, Deadline: time.Now().Add(time.Minute), Retryable: repeatable,
 	}
 }
 
@@ -137,7 +138,7 @@
 		f := newFixture(t, reply(200, "Proof", "p"))
 		d := deliverer.New(
 			deliverer.WithUpstream(func() (wire.Upstream, bool) { return f.upstream, f.present }),
-			deliverer.WithAcquire(func(context.Context, string, time.Time) (func(deliverer.SlotOutcome), error) {
+			deliverer.WithAcquire(func(context.Context, limiter.Class, time.Time) (func(deliverer.SlotOutcome), error) {
 				f.present = false
 				return func(deliverer.SlotOutcome) {}, nil
 			}),
@@ -227,7 +228,7 @@
 	allTaken := false
 	d := deliverer.New(
 		deliverer.WithUpstream(func() (wire.Upstream, bool) { return f.upstream, true }),
-		deliverer.WithAcquire(func(_ context.Context, _ string, start time.Time) (func(deliverer.SlotOutcome), error) {
+		deliverer.WithAcquire(func(_ context.Context, _ limiter.Class, start time.Time) (func(deliverer.SlotOutcome), error) {
 			latest = start
 			if allTaken {
 				return nil, full
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"time"
 
-	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
+	"bluebellhoist/daemon/limiter"
 )
 
 // call is one in-flight call.
@@ -205,21 +205,9 @@
 	return max(minRetryAfter, min(time.Duration(retryAfterShare*float64(left)), maxRetryAfter))
 }
 
-// Numerically highest ranks of the classes urgent and normal; rank 0 is the most urgent.
-const (
-	maxUrgentRank = 1
-	maxNormalRank = 2
-)
-
-// class returns the priority class for the rank of the route.
-func (c *call) class() string {
-	switch {
-	case c.route.Rank <= maxUrgentRank:
-		return compiler.Urgent
-	case c.route.Rank <= maxNormalRank:
-		return compiler.Normal
-	}
-	return compiler.Bulk
+// class returns the priority class of the call. A call that a running call makes keeps its place when it is retried.
+func (c *call) class() limiter.Class {
+	return limiter.Class{Rank: c.route.Rank, Nested: c.firstKind == budgeter.Nested || c.firstKind == budgeter.Caused}
 }
 
 // logSampleInterval is the interval of the log sample: of the calls that succeed at the first attempt, one in
--- a/daemon/forwarder/fixture_test.go
+++ b/daemon/forwarder/fixture_test.go
@@ -210,7 +210,7 @@
 		forwarder.WithUpstream(func() (wire.Upstream, bool) {
 			return wire.Upstream{Address: upstreamAddr, Service: m.service, Conns: m.maxConns}, true
 		}),
-		forwarder.WithAcquire(func(context.Context, string) (func(forwarder.Outcome), error) {
+		forwarder.WithAcquire(func(context.Context, string, bool) (func(forwarder.Outcome), error) {
 			return func(o forwarder.Outcome) { m.record(&m.limiterOutcomes, o) }, m.slotErr
 		}),
 		forwarder.WithLoad(func() int { return 3 }),
