Count service calls of tenants towards their quota

Calls by service carry keys as well, so a tenant could pass its limit there. The egress side takes a token for each attempt, and answers as for routed calls.

--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -41,6 +41,11 @@
 		f.writeErrorResponse(w, r, "egress", errAnswer)
 		return
 	}
+	defer d.dropToken()
+	if errAnswer := d.takeToken(r.Context()); errAnswer != nil {
+		f.writeErrorResponse(w, r, "egress", errAnswer)
+		return
+	}
 	if errAnswer := f.startCall(c, r.Header); errAnswer != nil {
 		f.writeErrorResponse(w, r, "egress", errAnswer)
 		return
@@ -75,7 +80,8 @@
 	body    *body
 	header  http.Header
 	keyed   authorizer.Call
-	grant   authorizer.Grant // of the authorization after the call was read
+	grant   authorizer.Grant                // of the authorization after the call was read
+	token   atomic.Pointer[func(used bool)] // ends the token of the first attempt; nil once that is made, or without a limit
 }
 
 // result is the outcome of a delivery.
@@ -191,6 +197,17 @@
 
 // send sends the call to one member.
 func (d *delivery) send(ctx context.Context, addr string, kind budgeter.Kind) attemptResult {
+	release, refusal := d.nextToken(ctx)
+	if refusal != nil {
+		return attemptResult{answer: refusal, outcome: Outcome{Result: Canceled, Load: -1}, notRun: true}
+	}
+	t := d.sendWithToken(ctx, addr, kind)
+	release(!t.notRun)
+	return t
+}
+
+// sendWithToken sends the call to one member. The call has a token if its tenant has a limit.
+func (d *delivery) sendWithToken(ctx context.Context, addr string, kind budgeter.Kind) attemptResult {
 	started := time.Now()
 	grant, refusal := d.renewGrant()
 	if refusal != nil {
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
+	"bluebellhoist/daemon/spender"
 )
 
 // Values of HeaderOutcome on responses that a daemon generates itself.
@@ -96,7 +97,8 @@
 	metrics  *metrics.Set
 
 	authorizer   *authorizer.Authorizer
-	tenantHeader string // name of the header that tells the upstream the tenant
+	tenantHeader string                                                                                 // name of the header that tells the upstream the tenant
+	takeToken    func(ctx context.Context, tenant string, limit spender.Limit) (func(used bool), error) // nil without quotas
 
 	peerTransport   *http.Transport
 	streamTransport *http.Transport
@@ -172,6 +174,12 @@
 	return func(f *Forwarder) { f.authorizer = a }
 }
 
+// WithQuota sets the function that takes a token for an attempt of a tenant with a limit. The function that it returns takes
+// whether the attempt may have reached an upstream. Without quotas it is nil.
+func WithQuota(takeToken func(ctx context.Context, tenant string, limit spender.Limit) (func(used bool), error)) Option {
+	return func(f *Forwarder) { f.takeToken = takeToken }
+}
+
 // WithHeaderNames sets the header names, of which service calls use only that of the tenant.
 func WithHeaderNames(names courier.HeaderNames) Option {
 	return func(f *Forwarder) { f.tenantHeader = names.Tenant }
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -53,6 +53,9 @@
 		budgeter.WithClock(chronometer.New()),
 		budgeter.WithCount(r.tallier.Count),
 	)
+	if s.Quota.Enabled() {
+		r.buildQuota(s)
+	}
 	r.forwarder = forwarder.New(
 		forwarder.WithSnapshot(r.subscriber.Snapshot),
 		forwarder.WithPick(r.pickForServiceCall),
@@ -66,12 +69,10 @@
 			StartNestedCall: r.budgeter.StartNestedCall, Check: r.budgeter.Check, Begin: r.budgeter.Begin,
 		}),
 		forwarder.WithAuthorizer(r.authorizer),
+		forwarder.WithQuota(r.takeToken()),
 		forwarder.WithHeaderNames(r.names),
 		forwarder.WithDialPeer(peers.Dial),
 	)
-	if s.Quota.Enabled() {
-		r.buildQuota(s)
-	}
 	r.buildRoutedComponents(s, peers)
 }
 
