Encode quota datagrams as arrays and test the lease on a cluster with faults

An ask took 85 B, most of them the keys of maps: at 46 calls/s a daemon would spend more than its 8 KB/s of control traffic. TestQuotaLease cuts off, restarts and replaces controllers in fake time.

--- a/controller/runner/cluster_test.go
+++ b/controller/runner/cluster_test.go
@@ -27,6 +27,7 @@
 	random   *rand.Rand
 	nodes    []*node
 	isolated map[int]bool // nodes that exchange no packets with others
+	quotas   bool         // nodes that start have quotas
 }
 
 // node is a controller that may be down, in which case runner is nil.
@@ -83,14 +84,23 @@
 	running.send = func(to netip.AddrPort, p wire.Packet) { c.send(i, int(to.Port())-1, p) }
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
+	if c.quotas {
+		running.addTestQuota()
+	}
 	proving := make(chan struct{})
 	go func() {
 		defer close(proving)
 		_ = running.distributor.Run(ctx) // returns the error of ctx
 	}()
+	renewing := make(chan struct{})
+	go func() {
+		defer close(renewing)
+		running.renewTestQuota(ctx)
+	}()
 	go func() {
 		done <- running.replicator.Run(ctx)
 		<-proving
+		<-renewing
 		_ = store.Close()
 		close(done)
 	}()
--- a/core/carrier/carrier_test.go
+++ b/core/carrier/carrier_test.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 	"net"
 	"net/netip"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -18,13 +19,26 @@
 	"bluebellhoist/core/wire"
 )
 
-var sample = wire.Quota{Kind: Allot, Seq: 1 << 63, Voters: 3, Items: []wire.QuotaItem{
+var sample = wire.Quota{Kind: Allot, Seq: 1 << 63, Batch: "mesh", Voters: 3, Items: []wire.QuotaItem{
 	{Tenant: "daegu", Mod: 9, Count: 4, Extra: 3, Wait: MaxWait}, {Tenant: "buk"},
 }}
 
+// assertFull fails if a field of a struct is zero.
+func assertFull(t *testing.T, v any) {
+	t.Helper()
+	value := reflect.ValueOf(v)
+	for i := range value.NumField() {
+		if value.Field(i).IsZero() {
+			t.Errorf("test has no value for %s", value.Type().Field(i).Name)
+		}
+	}
+}
+
 // TestDatagram guards against datagrams that change on the way, are larger than a link carries, or are damaged.
 func TestDatagram(t *testing.T) {
 	is := is.New(t)
+	assertFull(t, sample)
+	assertFull(t, sample.Items[0])
 	data, err := Encode(sample)
 	is.NoErr(err)
 	got, err := Decode(data)
@@ -97,7 +111,7 @@
 	for _, kind := range []string{Ask, Allot, Decline, "other"} {
 		msg := sample
 		msg.Kind = kind
-		body, err := encoder.Marshal(msg)
+		body, err := encoder.Marshal(newRow(msg))
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -115,7 +129,7 @@
 		}
 		is := is.New(t)
 		is.NoErr(check(msg))
-		_, err = encoder.Marshal(msg)
+		_, err = encoder.Marshal(newRow(msg))
 		is.NoErr(err)
 	})
 }
@@ -129,3 +143,19 @@
 	is.True(errors.Is(c.Run(ctx), context.Canceled))
 	is.True(c.conn == nil)
 }
+
+// BenchmarkDatagram measures what a datagram costs each side.
+func BenchmarkDatagram(b *testing.B) {
+	msg := wire.Quota{Kind: Ask, Seq: 1 << 31, Batch: "mesh", Items: []wire.QuotaItem{{Tenant: "tenant-17", Mod: 70_000, Count: 1}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		data, err := Encode(msg)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := Decode(data); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data)), "B/datagram")
+	}
+}
--- a/core/carrier/datagram.go
+++ b/core/carrier/datagram.go
@@ -40,7 +40,7 @@
 
 // Encode returns msg prefixed by its checksum.
 func Encode(msg wire.Quota) ([]byte, error) {
-	body, err := encoder.Marshal(msg)
+	body, err := encoder.Marshal(newRow(msg))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
@@ -54,16 +54,17 @@
 
 // Decode checks and decodes a datagram.
 func Decode(data []byte) (wire.Quota, error) {
-	var msg wire.Quota
 	if len(data) <= checksumSize || len(data) > MaxDatagram {
-		return msg, fmt.Errorf("%w: %d bytes", ErrInvalid, len(data))
+		return wire.Quota{}, fmt.Errorf("%w: %d bytes", ErrInvalid, len(data))
 	}
 	if binary.BigEndian.Uint32(data) != crc32.Checksum(data[checksumSize:], castagnoli) {
-		return msg, fmt.Errorf("%w: checksum does not match", ErrInvalid)
+		return wire.Quota{}, fmt.Errorf("%w: checksum does not match", ErrInvalid)
 	}
-	if err := encoder.Unmarshal(data[checksumSize:], &msg); err != nil {
-		return msg, fmt.Errorf("%w: %v", ErrInvalid, err)
+	var row messageRow
+	if err := encoder.Unmarshal(data[checksumSize:], &row); err != nil {
+		return wire.Quota{}, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
+	msg := row.message()
 	return msg, check(msg)
 }
 
--- a/daemon/spender/spender.go
+++ b/daemon/spender/spender.go
@@ -60,7 +60,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.ledger = NewLedger(batch, s.bound, s.controllers, rand.Uint64())
+	s.ledger = NewLedger(batch, s.bound, s.controllers, uint64(rand.Uint32())) // a small number takes fewer bytes
 	s.ledger.count = newCounter(s.log).count
 	return s
 }
