Ask further controllers for tokens when learners decline, and log lost leases

Each of the three controllers that a daemon asks for the same calls could be a learner where there are more learners than voters. An ask that was declined does not count any more. A controller logs when its lease is renewed again or not any more. The bound of a daemon holds from its start, as that of controllers.

--- a/controller/allocator/allocator_test.go
+++ b/controller/allocator/allocator_test.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"fmt"
 	"maps"
 	"testing"
 	"time"
@@ -183,3 +184,17 @@
 	})
 	is.Equal(a.Answer(now+Lease, ask), wire.Quota{Kind: carrier.Decline, Seq: 7})
 }
+
+// BenchmarkAnswer measures an ask for one of 10,000 tenants.
+func BenchmarkAnswer(b *testing.B) {
+	limits := map[string]Limit{}
+	for i := range 10_000 {
+		limits[fmt.Sprint(i)] = Limit{Rate: 5, Burst: 5, Mod: 1}
+	}
+	a, now := newAllocator(3, limits)
+	ask := wire.Quota{Kind: carrier.Ask, Batch: "b", Items: []wire.QuotaItem{{Tenant: "17", Count: 1}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		a.Answer(now, ask)
+	}
+}
--- a/controller/runner/quota.go
+++ b/controller/runner/quota.go
@@ -36,6 +36,8 @@
 
 	mu   sync.Mutex
 	seen *registrar.View // view whose limits the allocator knows
+
+	proven bool // the last barrier succeeded; used by Run only
 }
 
 // newQuota returns the quota of a node.
@@ -145,10 +147,22 @@
 	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
 	start := q.clock()
-	if err := q.barrier(ctx); err != nil {
-		q.log.Debug("lease not renewed", "error", err)
+	err := q.barrier(ctx)
+	q.logProof(err)
+	if err != nil {
 		return
 	}
 	q.updateLimits()
 	q.allocator.Prove(start, q.clock())
 }
+
+// logProof logs when barriers begin or cease to succeed.
+func (q *quota) logProof(err error) {
+	switch {
+	case err == nil && !q.proven:
+		q.log.Info("lease for quotas renewed", "tenants", q.allocator.Limits())
+	case err != nil && q.proven:
+		q.log.Warn("lease for quotas not renewed; no tokens are allotted after its end", "error", err)
+	}
+	q.proven = err == nil
+}
--- a/daemon/runner/quota.go
+++ b/daemon/runner/quota.go
@@ -26,7 +26,7 @@
 		carrier.WithDeliver(func(from netip.AddrPort, msg wire.Quota) { r.spender.Deliver(from, msg) }))
 	r.spender = spender.New(s.Batch,
 		spender.WithClock(clock),
-		spender.WithBound(func() spender.Bound { return r.settings.Load().Quota.Bound() }),
+		spender.WithBound(s.Quota.Bound),
 		spender.WithControllers(order.addrs),
 		spender.WithSend(r.carrier.Send),
 		spender.WithLogger(log),
--- a/daemon/spender/ledger.go
+++ b/daemon/spender/ledger.go
@@ -123,8 +123,7 @@
 		return
 	}
 	if msg.Kind == carrier.Decline {
-		l.silent[from] = now + silentTime
-		l.continueRound(now, asked.tenant)
+		l.decline(now, asked)
 		return
 	}
 	delete(l.silent, from)
--- a/daemon/spender/ledger_test.go
+++ b/daemon/spender/ledger_test.go
@@ -261,6 +261,24 @@
 	f.assertAsk(0, 1, 0)
 }
 
+// TestLearners guards against calls that are refused because the controllers that were asked first are no voters.
+func TestLearners(t *testing.T) {
+	f := newFixture(t)
+	f.ledger.controllers = func() (all []netip.AddrPort) {
+		for i := range 6 {
+			all = append(all, controllerAddr(i))
+		}
+		return all
+	}
+	r := f.take()
+	for learner := range 5 {
+		ask := f.assertAsk(learner, 1, 0)
+		f.ledger.Deliver(f.now, ask.To, wire.Quota{Kind: carrier.Decline, Seq: ask.Message.Seq})
+	}
+	f.answer(f.assertAsk(5, 1, 0), 1, 0)
+	f.assertAdmitted(r)
+}
+
 // TestUnknownLimit guards against calls that wait for a controller which does not know their limit yet.
 func TestUnknownLimit(t *testing.T) {
 	f := newFixture(t)
--- a/daemon/spender/round.go
+++ b/daemon/spender/round.go
@@ -39,7 +39,7 @@
 // nextController returns the first controller that was not asked in this round, allots tokens as far as is known, and has not
 // refused tokens of the tenant lately. If all are silent, the first one is asked nevertheless.
 func (l *Ledger) nextController(now time.Duration, t *tenant) (netip.AddrPort, bool) {
-	if len(t.round.asked) >= maxTries {
+	if t.round.tries >= maxTries {
 		return netip.AddrPort{}, false
 	}
 	var silent netip.AddrPort
@@ -60,6 +60,15 @@
 	return silent, silent.IsValid() && !refused && len(t.round.asked) == 0
 }
 
+// decline passes over a controller that does not allot tokens, for example since it is no voter.
+func (l *Ledger) decline(now time.Duration, asked *ask) {
+	l.silent[asked.to] = now + silentTime
+	if round := asked.tenant.round; round != nil && asked.sent >= round.started {
+		round.tries--
+	}
+	l.continueRound(now, asked.tenant)
+}
+
 // ask asks a controller for tokens for the calls that wait, and for those that are expected within half of the validity.
 func (l *Ledger) ask(now time.Duration, t *tenant, controller netip.AddrPort) {
 	validity := l.bound().Validity(t.limit, l.voters)
@@ -69,6 +78,7 @@
 	l.pruneAsks(now)
 	l.asks[l.lastSeq] = &ask{to: controller, tenant: t, sent: now, tokens: count + extra}
 	t.round.asked = append(t.round.asked, controller)
+	t.round.tries++
 	t.round.nextTry = now + tryTime
 	l.outgoing = append(l.outgoing, Datagram{To: controller, Message: wire.Quota{
 		Kind: carrier.Ask, Seq: l.lastSeq, Batch: l.batch,
--- a/daemon/spender/tenant.go
+++ b/daemon/spender/tenant.go
@@ -25,6 +25,7 @@
 	started time.Duration
 	nextTry time.Duration // when the next controller is asked if the last one has not answered
 	asked   []netip.AddrPort
+	tries   int // asks that were not declined
 }
 
 // lastAsked returns the controller that was asked last.
