--- a/daemon/dispatcher/authorize_test.go
+++ b/daemon/dispatcher/authorize_test.go
@@ -1,8 +1,11 @@
 package dispatcher_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -17,6 +20,7 @@
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
 	"bluebellhoist/daemon/dispatcher"
+	"bluebellhoist/daemon/pipeliner"
 )
 
 // keyed is a dispatcher with one member and a configuration with tenants, which tests may change.
@@ -239,3 +243,58 @@
 		})
 	}
 }
+
+// TestKeyRemovedOnOpenConnection guards against calls with a removed key on a connection that was opened before, while earlier
+// calls on it are in flight.
+func TestKeyRemovedOnOpenConnection(t *testing.T) {
+	is := is.New(t)
+	k := newKeyed(t)
+	var current atomic.Pointer[compiler.Snapshot]
+	current.Store(k.snapshot)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	d := dispatcher.New(
+		dispatcher.WithSnapshot(current.Load),
+		dispatcher.WithPick(func(string, []string) (wire.Member, func(dispatcher.Outcome), error) {
+			return wire.Member{Name: "self"}, func(dispatcher.Outcome) {}, nil
+		}),
+		dispatcher.WithLocalDelivery("self", func(context.Context, deliverer.Call) deliverer.Result {
+			arrived <- struct{}{}
+			<-release
+			return deliverer.Result{Outcome: deliverer.Answered, Sent: true, Answer: &courier.Answer{Status: 200, Header: http.Header{}}}
+		}),
+	)
+	server := pipeliner.New(pipeliner.WithHandler(d.Handle))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx, listener) }()
+	defer func() {
+		cancel()
+		<-served
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	const request = "GET /r/x HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\n\r\n"
+	answers := bufio.NewReader(conn)
+	readStatus := func() int {
+		response, err := http.ReadResponse(answers, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		return response.StatusCode
+	}
+	_, err = io.WriteString(conn, request)
+	is.NoErr(err)
+	<-arrived
+	current.Store(tenantSnapshot(t, 2, map[string]string{"l": "alfa"}, nil))
+	_, err = io.WriteString(conn, request)
+	is.NoErr(err)
+	close(release)
+	is.Equal(readStatus(), http.StatusOK) // was sent before the key was removed
+	is.Equal(readStatus(), http.StatusUnauthorized)
+	_, err = io.WriteString(conn, request)
+	is.NoErr(err)
+	is.Equal(readStatus(), http.StatusUnauthorized)
+}
