Alternate the first exchanges after a join between failure domains

Cause: when all members start together and the seeds come up last, each member joins through one of the seeds, which do not know each other yet. Members of a failure domain without a seed then know only those that joined through the same seed. Each sends its own entry to the three members per domain that it knows, all of the same group, and the exchanges within the domain find no difference, so that their interval doubles. The groups met only by an exchange that left the domain by chance.

Change: the first six exchanges after a join go alternately to the own failure domain and to another one, and the interval doubles after every second one.

The tests of the bytes sent hold unchanged.

--- a/core/gossiper/crossdomain.go
+++ b/core/gossiper/crossdomain.go
@@ -138,3 +138,8 @@
 func (g *Gossiper) sameDomain(e *entry) bool {
 	return e.Domain == g.self.Domain
 }
+
+// otherDomain reports whether a member belongs to another failure domain.
+func (g *Gossiper) otherDomain(e *entry) bool {
+	return !g.sameDomain(e)
+}
--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -16,6 +16,11 @@
 // anyDomainExchangePeriod picks its partner from all failure domains; the others stay within the own one.
 const anyDomainExchangePeriod = 4
 
+// earlyExchanges is the number of exchanges after a join that go alternately to the own failure domain and to another one, at
+// intervals that double after every second one. Members that start together and join through different seeds know only the
+// members of the same seed at first. In a failure domain without a seed they find no difference among themselves.
+const earlyExchanges = 6
+
 // unconvergedChanges is the number of changed entries in an exchange at which the next exchange is brought forward. When a
 // whole failure domain starts, exchanges spread its members in a tenth of the bytes that pushes need.
 const unconvergedChanges = 8
@@ -82,10 +87,15 @@
 
 // randomPartner returns the address of a random reachable member, usually from the own failure domain.
 func (g *Gossiper) randomPartner() netip.AddrPort {
-	if g.unconverged || g.rand.IntN(anyDomainExchangePeriod) > 0 {
-		for _, e := range g.peers(1, g.sameDomain) {
-			return e.Addr
-		}
+	keep := g.sameDomain
+	switch {
+	case g.exchanges < earlyExchanges && g.exchanges%2 == 1:
+		keep = g.otherDomain
+	case g.exchanges >= earlyExchanges && !g.unconverged && g.rand.IntN(anyDomainExchangePeriod) == 0:
+		keep = nil
+	}
+	for _, e := range g.peers(1, keep) {
+		return e.Addr
 	}
 	for _, e := range g.peers(1, nil) {
 		return e.Addr
@@ -127,6 +137,9 @@
 		g.requestRefutation(res.reportedDead)
 		g.recordExchange(reply.From)
 		g.unconverged = res.changed >= unconvergedChanges || res.changed > 0 && len(g.peers(1, g.sameDomain)) == 0
+		if !g.joined {
+			g.exchanges, g.exchangeInterval = 0, minExchangeInterval
+		}
 		g.joined, g.rejoinAddrs = true, nil
 	})
 	missingEntries := wire.Gossip{Kind: kindSync, From: msg.From}
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -79,6 +79,7 @@
 	nextProbe        time.Time
 	nextExchange     time.Time
 	exchangeInterval time.Duration
+	exchanges        int // due exchanges since the join
 	nextReconnect    time.Time
 	nextJoin         time.Time
 	joinBackoff      time.Duration
--- a/core/gossiper/run.go
+++ b/core/gossiper/run.go
@@ -92,10 +92,13 @@
 		g.expediteExchange(now)
 	}
 	if now.Compare(g.nextExchange) >= 0 {
-		g.exchangeInterval = min(2*g.exchangeInterval, maxExchangeInterval)
+		if g.exchanges >= earlyExchanges || g.exchanges%2 == 1 {
+			g.exchangeInterval = min(2*g.exchangeInterval, maxExchangeInterval)
+		}
 		// Jitter keeps members that started together from exchanging at the same time forever.
 		g.nextExchange = now.Add(g.exchangeInterval/2 + g.jitter(g.exchangeInterval))
 		g.startExchange(ctx, g.randomPartner(), exchangeTimeout, exchangeDone)
+		g.exchanges++
 		g.unconverged, g.expedited = false, false
 	}
 	if g.recoveredPeer.IsValid() && !g.exchangeInFlight {
