Bound the memory and the connections that callers occupy

Cause: each body was limited on its own, read into a growing buffer and copied once more before it was sent on. Header sections, unread answers and connections had no common bound, and the plain endpoints of daemons and controllers had none at all. Five uploads of 32 MiB took a daemon over 284 MB, and one body of 64 MiB took both daemons of a call over 184 MB.

Change: an account (core/accountant) covers bodies, headers with a cost for each field, connections and answers that are not read yet. Its size is a share of the new setting memory. When it is full, the holder that has held the most for the longest time is shed: its call is refused as not run while it arrives, otherwise its connection is closed. Bodies are read in pieces and sent on without a copy.

Interim answers (100 Continue) no longer go out within the answer to an earlier call of the connection.

Tests: the tests of pipeliner, courier and deliverer use courier.Body instead of a slice of bytes where they read or set a body; what they check is unchanged. The upstream of TestMesh can also count a body and send a long answer.

--- a/controller/administrator/commands.go
+++ b/controller/administrator/commands.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
+	"bluebellhoist/core/accountant"
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
@@ -25,7 +26,10 @@
 		return writeProblem(c, http.StatusBadRequest, presenter.CodeInvalid, "query parameter id must be a UUID")
 	}
 	text, err := io.ReadAll(io.LimitReader(c.Request().Body, compiler.MaxTextSize+1))
-	if err != nil {
+	switch {
+	case errors.Is(err, accountant.ErrShed):
+		return writeUnavailable(c, err)
+	case err != nil:
 		return writeProblem(c, http.StatusBadRequest, presenter.CodeInvalid, "body not received: "+err.Error())
 	}
 	edits, err := compiler.Parse(text, time.Now())
--- a/controller/runner/gauges.go
+++ b/controller/runner/gauges.go
@@ -20,5 +20,7 @@
 	set.NewGauge("bluebell_log_applied_index", func() float64 { return float64(r.replicator.Status().Applied) })
 	set.NewGauge("bluebell_config_version", func() float64 { return float64(r.registrar.View().Version()) })
 	set.NewGauge("bluebell_daemons_connected", func() float64 { return float64(len(r.distributor.Daemons())) })
+	set.NewGauge("bluebell_callers_memory_bytes", func() float64 { return float64(r.account.Used()) })
+	set.NewGauge("bluebell_callers_memory_limit_bytes", func() float64 { return float64(r.account.Size()) })
 	return set
 }
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -24,10 +24,12 @@
 	"bluebellhoist/controller/registrar"
 	"bluebellhoist/controller/replicator"
 	"bluebellhoist/controller/storer"
+	"bluebellhoist/core/accountant"
 	"bluebellhoist/core/chronometer"
 	"bluebellhoist/core/connector"
 	"bluebellhoist/core/exchanger"
 	"bluebellhoist/core/exposer"
+	"bluebellhoist/core/gatekeeper"
 	"bluebellhoist/core/gossiper"
 	"bluebellhoist/core/watcher"
 	"bluebellhoist/core/wire"
@@ -44,14 +46,14 @@
 	exitReserve = 500 * time.Millisecond
 	// leaveLimit bounds the wait until other gossip members have confirmed the leave.
 	leaveLimit = time.Second
-	// headerTimeout bounds reading the header of a request.
-	headerTimeout = 5 * time.Second
 )
 
 // Runner is one controller: a node of the replicated log and, if gossip is enabled, a member of the gossip membership.
 type Runner struct {
 	settings      Settings
 	log           hclog.Logger
+	account       *accountant.Account
+	mainGate      *gatekeeper.Gate
 	store         *storer.Storer
 	registrar     *registrar.Registrar
 	send          func(netip.AddrPort, wire.Packet) // sends a packet to a peer; replaced in tests
@@ -139,7 +141,7 @@
 // Run runs the node until ctx ends or the process gets SIGTERM or SIGINT. It then makes a planned stop and closes the
 // data folder.
 func (r *Runner) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", r.settings.bind().String())
+	listener, err := r.mainGate.Listen(r.settings.bind())
 	if err != nil {
 		return errors.Join(err, r.store.Close())
 	}
@@ -149,6 +151,8 @@
 // newRunner creates the components of a controller and connects them with each other.
 func newRunner(s Settings, store *storer.Storer, log hclog.Logger) *Runner {
 	r := &Runner{settings: s, log: log, store: store, registrar: registrar.New()}
+	r.account = accountant.New(accountant.WithMemory(s.Memory<<20), accountant.WithLogger(log.Named("accountant")))
+	r.mainGate = r.newGate("main", r.mainConnections())
 	r.messenger = messenger.New(
 		messenger.WithDeliver(func(p wire.Packet) { r.replicator.Deliver(p) }),
 		messenger.WithDial(connector.New(connector.WithSource(s.Bind.Addr())).DialContext),
@@ -212,16 +216,17 @@
 	for _, component := range r.components() {
 		group.Add(func() error { return component(componentsCtx) }, func(error) { cancel() })
 	}
-	servers := []*http.Server{addServer(componentsCtx, &group, listener, r.handler())}
+	servers := []*http.Server{addServer(componentsCtx, &group, listener, r.mainGate.Server(r.handler()))}
 	for _, d := range append([]endpoint{{r.settings.Metrics, exposer.New(r.newGauges())}}, r.endpoints...) {
 		if !d.addr.IsValid() {
 			continue
 		}
-		endpointListener, err := net.Listen("tcp", d.addr.String())
+		gate := r.newGate(d.addr.String(), r.ownConnections())
+		endpointListener, err := gate.Listen(d.addr)
 		if err != nil {
 			return errors.Join(err, listener.Close())
 		}
-		servers = append(servers, addServer(componentsCtx, &group, endpointListener, d.handler))
+		servers = append(servers, addServer(componentsCtx, &group, endpointListener, gate.Server(d.handler)))
 	}
 	group.Add(func() error {
 		<-signals.Done()
@@ -251,12 +256,8 @@
 }
 
 // addServer adds a server to the group. The contexts of its requests are derived from componentsCtx.
-func addServer(componentsCtx context.Context, group *run.Group, listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		BaseContext:       func(net.Listener) context.Context { return componentsCtx },
-	}
+func addServer(componentsCtx context.Context, group *run.Group, listener net.Listener, server *http.Server) *http.Server {
+	server.BaseContext = func(net.Listener) context.Context { return componentsCtx }
 	group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
 	return server
 }
--- a/controller/runner/settings.go
+++ b/controller/runner/settings.go
@@ -33,7 +33,9 @@
 	Grace     loader.Duration  `json:"grace"`   // time allowed for a planned stop; optional
 	Metrics   netip.AddrPort   `json:"metrics"` // additional address for the metrics; optional
 	// Quota limits the calls of tenants over the whole mesh; optional.
-	Quota apportioner.Settings `json:"quota"`
+	Quota  apportioner.Settings `json:"quota"`
+	Memory int64                `json:"memory"` // memory of the process in MiB, of which requests get a share; optional
+	Files  int                  `json:"files"`  // descriptors that the process may open; optional
 }
 
 // bind returns the local address to listen on.
@@ -73,6 +75,8 @@
 		return fmt.Errorf("%w: the name of a founder must be its address %s", errSettings, s.Listen)
 	case s.MaxVoters < 0:
 		return fmt.Errorf("%w: seats is negative", errSettings)
+	case s.Memory < 0 || s.Files < 0:
+		return fmt.Errorf("%w: memory and files must not be negative", errSettings)
 	case s.Grace < 0:
 		return fmt.Errorf("%w: grace is negative", errSettings)
 	case hclog.LevelFromString(s.Level) == hclog.NoLevel:
--- a/core/exchanger/exchanger.go
+++ b/core/exchanger/exchanger.go
@@ -144,10 +144,15 @@
 	return decodeMessage(response.Body)
 }
 
+// IsExchange reports whether a request is an exchange.
+func IsExchange(r *http.Request) bool {
+	return r.Host == gossipHost
+}
+
 // Handler returns a handler that handles exchanges and passes all other requests to next.
 func (e *Exchanger) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Host != gossipHost {
+		if !IsExchange(r) {
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/daemon/courier/answer.go
+++ b/daemon/courier/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -20,7 +19,7 @@
 	// small responses still succeed while other upstreams send endless ones.
 	smallBodyBytes = 64 << 10
 	// memoryLimitDivisor bounds the memory for bodies: one client may use the memory limit of the process divided by
-	// memoryLimitDivisor. A daemon has two clients, and a body takes up to three times its size while its buffer grows.
+	// memoryLimitDivisor. A daemon has two clients.
 	memoryLimitDivisor = 8
 	// fallbackMemoryBytes is the memory for bodies if the process has no memory limit.
 	fallbackMemoryBytes = 256 << 20
@@ -69,23 +68,44 @@
 // readBody reads a complete body and fails if the available memory does not suffice. length is the Content-Length, or
 // negative if there is none.
 func (m *bodyMemory) readBody(body io.Reader, length int64) ([]byte, error) {
-	var buf bytes.Buffer
-	buf.Grow(int(max(0, min(length, smallBodyBytes))) + bytes.MinRead)
 	var reserved int64
 	defer func() { m.available.Add(reserved) }()
-	for {
-		n, err := io.CopyN(&buf, body, smallBodyBytes)
-		if errors.Is(err, io.EOF) {
-			return buf.Bytes(), nil
+	reserve := func(bytes int64) error {
+		if !m.tryReserve(bytes) {
+			return errTooLarge
 		}
-		if err != nil {
-			return nil, err
+		reserved += bytes
+		return nil
+	}
+	if length >= 0 {
+		if length > smallBodyBytes {
+			if err := reserve(length); err != nil {
+				return nil, err
+			}
 		}
-		if !m.tryReserve(n) {
-			return nil, errTooLarge
+		data := make([]byte, length)
+		_, err := io.ReadFull(body, data)
+		return data, noEOF(err)
+	}
+	var total int64
+	segments, err := BodyReader{Grow: func(bytes int64) error {
+		if total += bytes; total <= smallBodyBytes {
+			return nil
 		}
-		reserved += n
+		return reserve(2 * bytes) // the segments are copied into one piece
+	}}.Read(body, length)
+	if err != nil {
+		return nil, err
 	}
+	return segments.joined(), nil
+}
+
+// noEOF returns io.ErrUnexpectedEOF for the end of a body that is shorter than stated.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // readAnswer reads one complete response. A response with neither a length nor chunked encoding ends when the
@@ -102,7 +122,11 @@
 			continue
 		}
 		c.head.remaining = math.MaxInt64
-		body, err := c.memory.readBody(resp.Body, resp.ContentLength)
+		length := resp.ContentLength
+		if resp.Body == http.NoBody {
+			length = 0 // a response to HEAD may state the length of a body that it does not have
+		}
+		body, err := c.memory.readBody(resp.Body, length)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %v", ErrIncompleteAnswer, err)
 		}
--- a/daemon/courier/client.go
+++ b/daemon/courier/client.go
@@ -134,12 +134,12 @@
 
 // exchange writes the request and reads the response.
 func (c *conn) exchange(call Call) (*Answer, error) {
-	data := call.Request.encode()
-	n, err := c.Write(data)
+	buffers := call.Request.Body.buffers(call.Request.encodeHead())
+	n, err := buffers.WriteTo(c.Conn)
 	if err != nil && n == 0 {
 		return nil, fmt.Errorf("%w: %v", ErrUnsent, err)
 	}
-	if err != nil && n < len(data) {
+	if err != nil { // net.Buffers reports an error only if not all bytes were written
 		// The server may have responded before it read the whole body.
 		if a, readErr := c.readAnswer(call.Request.Method); readErr == nil && call.matches(a) {
 			a.Close = true
--- a/daemon/courier/client_test.go
+++ b/daemon/courier/client_test.go
@@ -227,6 +227,21 @@
 	_ = c.Run(ctx) // closes the connection
 }
 
+// TestHead guards against waiting for the body of a response to HEAD, which states a length but has none.
+func TestHead(t *testing.T) {
+	is := is.New(t)
+	to := upstream(t, func(conn net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\n")
+		next()
+	})
+	head := call("1")
+	head.Request.Method = http.MethodHead
+	a, err := courier.New().Do(context.Background(), to, head)
+	is.NoErr(err)
+	is.Equal(len(a.Body), 0)
+}
+
 // TestCancel guards against calls that continue on the server after the caller has canceled them.
 func TestCancel(t *testing.T) {
 	is := is.New(t)
--- a/daemon/courier/request.go
+++ b/daemon/courier/request.go
@@ -16,7 +16,7 @@
 	Target string // request target, as in the request line
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// Close is true if the sender of the request will not reuse its connection.
 	Close bool
 }
@@ -36,17 +36,16 @@
 	return path
 }
 
-// encode returns the request in wire format. The header must not contain hop-by-hop headers.
-func (r *Request) encode() []byte {
+// encodeHead returns the request line and the header in wire format. The header must not contain hop-by-hop headers.
+func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	writeHeader(&b, r.Header)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		writeLength(&b, len(r.Body))
+		writeLength(&b, r.Body.Len())
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
@@ -65,9 +64,9 @@
 	}
 }
 
-func writeLength(b *bytes.Buffer, length int) {
+func writeLength(b *bytes.Buffer, length int64) {
 	b.WriteString("Content-Length: ")
-	b.WriteString(strconv.Itoa(length))
+	b.WriteString(strconv.FormatInt(length, 10))
 	b.WriteString("\r\n")
 }
 
@@ -80,22 +79,37 @@
 	Close bool
 }
 
-// Encode returns the response to a request with the given method in wire format.
-func (a *Answer) Encode(method string) []byte {
+// Encode returns the response to a request with the given method in wire format: the head, and the body if it is sent.
+func (a *Answer) Encode(method string) (head, body []byte) {
 	var b bytes.Buffer
-	b.Grow(512 + len(a.Body))
+	b.Grow(512)
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
 	writeHeader(&b, a.Header)
 	bodyless := a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
 	if !bodyless {
-		writeLength(&b, len(a.Body))
+		writeLength(&b, int64(len(a.Body)))
 	}
 	if a.Close {
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	if !bodyless && method != http.MethodHead {
-		b.Write(a.Body)
+	if bodyless || method == http.MethodHead {
+		return b.Bytes(), nil
 	}
-	return b.Bytes()
+	return b.Bytes(), a.Body
 }
+
+// HeaderBytes estimates the memory that a header takes.
+func HeaderBytes(h http.Header) int64 {
+	var size int64
+	for name, values := range h {
+		for _, value := range values {
+			size += int64(len(name)+len(value)) + FieldBytes
+		}
+	}
+	return size
+}
+
+// FieldBytes is the memory that a header field takes besides its name and value: its share of the map, the list of its
+// values and their allocation.
+const FieldBytes = 192
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"bluebellhoist/core/accountant"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
@@ -89,6 +90,7 @@
 	names         courier.HeaderNames
 	needsKey      func() bool
 	durations     durations
+	account       *accountant.Account
 	draining      atomic.Bool
 }
 
@@ -131,6 +133,11 @@
 	return func(d *Deliverer) { d.names = names }
 }
 
+// WithAccount sets the account of the memory that calls from other daemons occupy. The default is not limited.
+func WithAccount(account *accountant.Account) Option {
+	return func(d *Deliverer) { d.account = account }
+}
+
 // New returns a deliverer. WithUpstream and WithAcquire are required.
 func New(opts ...Option) *Deliverer {
 	d := &Deliverer{
@@ -141,6 +148,7 @@
 		needsKey:      func() bool { return false },
 		client:        courier.New(),
 		names:         courier.DefaultHeaderNames(),
+		account:       accountant.New(),
 	}
 	for _, opt := range opts {
 		opt(d)
--- a/daemon/deliverer/deliverer_test.go
+++ b/daemon/deliverer/deliverer_test.go
@@ -188,7 +188,7 @@
 	c := newCall(true)
 	c.Route, c.Target = "name; with a separator", time.Now().Add(time.Second)
 	c.Request.Target = "/x?page=1&sort=new"
-	c.Request.Method, c.Request.Body = http.MethodPost, []byte("body")
+	c.Request.Method, c.Request.Body = http.MethodPost, courier.NewBody([]byte("body"))
 	to := netip.MustParseAddrPort(peer.Listener.Addr().String())
 	answer, err := courier.New().Do(context.Background(), to, courier.Call{Request: c.Pack()})
 	is.NoErr(err)
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -67,7 +66,7 @@
 	return strconv.FormatInt(d.Milliseconds(), 10)
 }
 
-// unpackCall returns the call in a request from another daemon.
+// unpackCall returns the call in a request from another daemon, without its body.
 func unpackCall(r *http.Request, now time.Time) (Call, error) {
 	fields := strings.Split(r.Header.Get(headerCall), fieldSeparator)
 	if len(fields) != callFields {
@@ -105,25 +104,11 @@
 	if c.Kind, c.Started, err = budgeter.ParseArrival(r.Header.Get(budgeter.HeaderArrival), now); err != nil {
 		return Call{}, fmt.Errorf("%w: %w", errPeerHeader, err)
 	}
-	// The daemon of the caller has applied the limit of the configuration in force.
-	if c.Request.Body, err = io.ReadAll(r.Body); err != nil {
-		return Call{}, fmt.Errorf("body: %w", err)
-	}
 	courier.RemoveHopByHop(r.Header)
 	courier.RemoveDaemonHeaders(r.Header)
 	return c, nil
 }
 
-// ServeHTTP answers a call from another daemon.
-func (d *Deliverer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c, err := unpackCall(r, time.Now())
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	d.Deliver(r.Context(), c).write(w)
-}
-
 func (r Result) write(w http.ResponseWriter) {
 	h := w.Header()
 	status := http.StatusServiceUnavailable
--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -31,9 +31,16 @@
 		return
 	}
 	defer func() { f.observeCall(c.batch, c.class, time.Since(started)) }()
+	held, errAnswer := f.hold(w, r, maxBufferBytes)
+	if errAnswer != nil {
+		f.writeErrorResponse(w, r, "egress", errAnswer)
+		return
+	}
+	defer held.release()
+	r = held.Request
 	reqBody, err := readBody(w, r, maxBufferBytes, c.deadline)
 	if err != nil {
-		f.writeErrorResponse(w, r, "egress", errorResponse(http.StatusBadRequest, OutcomeNotRun, "request body: %v", err))
+		f.writeErrorResponse(w, r, "egress", held.bodyError(err))
 		return
 	}
 	// The configuration may have changed while the body arrived.
--- a/daemon/forwarder/fixture_test.go
+++ b/daemon/forwarder/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 
+	"bluebellhoist/core/accountant"
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/forwarder"
@@ -157,6 +158,7 @@
 	maxConns int    // connections that the upstream accepts
 	slotErr  error  // error that every member returns for a slot
 	onSlot   func() // called when a member waits for a slot; optional
+	account  *accountant.Account
 	budget   budget
 
 	mu              sync.Mutex
@@ -170,8 +172,10 @@
 	m.net.loopback, m.net.listeners = loopback, map[netip.AddrPort]*listener{}
 	m.claims.grants, m.claims.done = map[string]wire.Claim{}, map[string]bool{}
 	m.snapshot = snapshot(t, time.Now().Add(time.Hour))
+	m.account = accountant.New(accountant.WithMemory(1 << 20))
 	m.egress = forwarder.New(forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot }),
-		forwarder.WithPick(m.pick), forwarder.WithDial(m.net.dial), forwarder.WithMetrics(m.metrics), forwarder.WithBudget(m.budget.functions()))
+		forwarder.WithPick(m.pick), forwarder.WithDial(m.net.dial), forwarder.WithMetrics(m.metrics), forwarder.WithBudget(m.budget.functions()),
+		forwarder.WithAccount(m.account))
 	m.serve(egressAddr, forwarder.NewCallServer(m.egress.Egress()))
 	for range members {
 		m.addMember(m.newIngress().Ingress())
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"bluebellhoist/core/accountant"
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/connector"
 	"bluebellhoist/core/wire"
@@ -95,6 +96,7 @@
 	dial     dialFunc
 	dialPeer dialFunc
 	metrics  *metrics.Set
+	account  *accountant.Account
 
 	authorizer   *authorizer.Authorizer
 	tenantHeader string                                                                                 // name of the header that tells the upstream the tenant
@@ -201,6 +203,11 @@
 	return func(f *Forwarder) { f.metrics = set }
 }
 
+// WithAccount sets the account of the memory that calls occupy. The default is not limited.
+func WithAccount(account *accountant.Account) Option {
+	return func(f *Forwarder) { f.account = account }
+}
+
 // New returns a Forwarder. Without WithSnapshot, WithPick, WithAcquire, WithUpstream or WithClaim, it refuses the calls
 // that need the missing function.
 func New(opts ...Option) *Forwarder {
@@ -227,6 +234,7 @@
 		metrics:  metrics.GetDefaultSet(),
 
 		tenantHeader: courier.DefaultHeaderNames().Tenant,
+		account:      accountant.New(),
 	}
 	for _, opt := range opts {
 		opt(f)
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -44,13 +44,21 @@
 	started := time.Now()
 	restoreKeyHeaders(r.Header)
 	c, errAnswer := f.admitIngress(r, started)
-	if errAnswer == nil {
-		errAnswer = c.bufferBody(w)
+	if errAnswer != nil {
+		f.writeIngressError(w, r, errAnswer)
+		return
 	}
+	held, errAnswer := f.hold(w, r, int64(c.bufferLimit()))
 	if errAnswer != nil {
 		f.writeIngressError(w, r, errAnswer)
 		return
 	}
+	defer held.release()
+	r, c.request = held.Request, held.Request
+	if errAnswer := c.bufferBody(w, held); errAnswer != nil {
+		f.writeIngressError(w, r, errAnswer)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	releaseSlot, err := f.acquire(ctx, r.Header.Get(HeaderClass), c.kind == budgeter.Nested || c.kind == budgeter.Caused)
@@ -156,18 +164,22 @@
 	return nil
 }
 
-// bufferBody buffers the body. A call that needs a claim is buffered as a whole, because the digest covers its body.
-func (c *ingressCall) bufferBody(w http.ResponseWriter) *answer {
-	limit := maxBufferBytes
+// bufferLimit returns how many bytes of the body are buffered.
+func (c *ingressCall) bufferLimit() int {
 	if c.once {
-		limit = maxOnceBodyBytes
+		return maxOnceBodyBytes
 	}
+	return maxBufferBytes
+}
+
+// bufferBody buffers the body. A call that needs a claim is buffered as a whole, because the digest covers its body.
+func (c *ingressCall) bufferBody(w http.ResponseWriter, held *heldRequest) *answer {
 	if c.once && c.request.ContentLength > maxOnceBodyBytes {
 		return bodyTooLarge()
 	}
-	reqBody, err := readBody(w, c.request, limit, c.deadline)
+	reqBody, err := readBody(w, c.request, c.bufferLimit(), c.deadline)
 	if err != nil {
-		return errorResponse(http.StatusBadRequest, OutcomeNotRun, "request body: %v", err)
+		return held.bodyError(err)
 	}
 	if c.once && !reqBody.fullyBuffered() {
 		return bodyTooLarge()
--- a/daemon/forwarder/peer.go
+++ b/daemon/forwarder/peer.go
@@ -19,6 +19,13 @@
 // them.
 const maxConcurrentStreams = 4096
 
+const (
+	// maxHeaderBytes is the largest header section of a call. It exceeds the bounds of usual configurations.
+	maxHeaderBytes = 256 << 10
+	// streamBufferBytes is the memory for long bodies that have arrived on an HTTP/2 connection and have not been read.
+	streamBufferBytes = 256 << 10
+)
+
 // newPeerTransport returns the transport for calls to other daemons whose body is buffered. It uses HTTP/1.1, which
 // adds less latency than HTTP/2. The socket options of dialPeer detect silent connections.
 func (f *Forwarder) newPeerTransport() *http.Transport {
@@ -76,7 +83,9 @@
 		Protocols: protocols,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxConcurrentStreams, SendPingTimeout: pingTimeout, PingTimeout: pingTimeout,
+			MaxReceiveBufferPerConnection: streamBufferBytes, MaxReceiveBufferPerStream: streamBufferBytes,
 		},
+		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       2 * idleTimeout, // longer than the client's timeout, so that the client closes first
 	}
@@ -87,6 +96,7 @@
 func NewCallServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: 5 * time.Second,
 		WriteTimeout:      compiler.MaxCallLimit + 15*time.Second,
 		IdleTimeout:       2 * time.Minute,
--- a/daemon/pipeliner/limits_test.go
+++ b/daemon/pipeliner/limits_test.go
@@ -79,7 +79,7 @@
 var narrowBounds = pipeliner.Bounds{MaxHeaderBytes: 8 << 10, MaxBodyBytes: 100, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 
 func echoBody(_ context.Context, r *courier.Request) *courier.Answer {
-	return ok(string(r.Body))
+	return ok(string(r.Body.Bytes()))
 }
 
 // TestChangedBounds guards against judging a call on a kept connection by bounds that were replaced before it arrived.
@@ -182,7 +182,7 @@
 			bounds := narrowBounds
 			bounds.MaxBodyBytes, bounds.IdleTimeout = limit, time.Minute
 			_, dial := serve(t, func(_ context.Context, r *courier.Request) *courier.Answer {
-				return ok(strconv.Itoa(len(r.Body)))
+				return ok(strconv.FormatInt(r.Body.Len(), 10))
 			}, pipeliner.WithBounds(newConfig(bounds).bounds))
 			conn := dial()
 			conn.send(head + c.body)
--- a/daemon/pipeliner/pipeliner.go
+++ b/daemon/pipeliner/pipeliner.go
@@ -13,18 +13,35 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bluebellhoist/core/accountant"
 	"bluebellhoist/daemon/courier"
 )
 
 const (
 	// maxPipelined is how many calls of one connection may run or wait for their response to be written.
 	maxPipelined = 16
+	// maxFields is the largest number of header fields of a call, and of fields in the trailer of its body.
+	maxFields = 512
 	// closeCheckInterval is the time between two checks whether a caller with a full queue of calls has left.
 	closeCheckInterval = 50 * time.Millisecond
+	// continueCheckInterval is the time between two checks whether all earlier calls of a caller that waits for
+	// "100 Continue" have been answered.
+	continueCheckInterval = 5 * time.Millisecond
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 4 << 10
-	// writeTimeout is how long writing a response may take. It closes connections whose caller does not read.
-	writeTimeout = 10 * time.Second
+	// socketBufferBytes is the size of the buffers of the kernel for a connection, in each direction. What callers have
+	// sent and the daemon has not read counts towards its memory.
+	socketBufferBytes = 32 << 10
+	// ConnectionBytes is the memory of a connection without calls: two goroutines, the read buffer and the socket.
+	ConnectionBytes = 32 << 10
+	// writePieceBytes is the part of a response that a caller must accept within writeTimeout. The two give the lowest
+	// rate at which callers may read.
+	writePieceBytes = 64 << 10
+	writeTimeout    = 10 * time.Second
+	// minReadRate is the lowest rate in bytes per second at which a body may arrive on average, apart from minRateGrace
+	// or the idle time, whichever is longer.
+	minReadRate  = 256
+	minRateGrace = 30 * time.Second
 	// lingerTimeout is how long the remaining input of a caller is read after the last response. Closing a connection
 	// with unread data would reset it before the response arrives.
 	lingerTimeout = 500 * time.Millisecond
@@ -46,8 +63,11 @@
 	handler func(context.Context, *courier.Request) *courier.Answer
 	bounds  func() (Bounds, bool)
 	log     hclog.Logger
+	account *accountant.Account
+	slots   chan struct{} // one element for each open connection; nil for no limit
 
 	draining  atomic.Bool
+	limitLog  limitLog
 	mu        sync.Mutex
 	conns     map[*connection]struct{}
 	connGroup sync.WaitGroup
@@ -71,12 +91,23 @@
 	return func(s *Server) { s.log = log }
 }
 
+// WithAccount sets the account of the memory that callers occupy. The default is not limited.
+func WithAccount(account *accountant.Account) Option {
+	return func(s *Server) { s.account = account }
+}
+
+// WithMaxConnections sets the largest number of connections. The default is no limit.
+func WithMaxConnections(connections int) Option {
+	return func(s *Server) { s.slots = make(chan struct{}, connections) }
+}
+
 // New returns a Server. WithHandler is required.
 func New(opts ...Option) *Server {
 	s := &Server{
-		bounds: func() (Bounds, bool) { return Bounds{}, false },
-		log:    hclog.NewNullLogger(),
-		conns:  map[*connection]struct{}{},
+		bounds:  func() (Bounds, bool) { return Bounds{}, false },
+		log:     hclog.NewNullLogger(),
+		account: accountant.New(),
+		conns:   map[*connection]struct{}{},
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -103,6 +134,12 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
+		if !s.acquireSlot() {
+			s.countLimited(reasonConnections, raw)
+			_ = raw.Close()
+			continue
+		}
+		limitSocketBuffers(raw)
 		c := newConnection(s, raw)
 		s.add(c)
 		s.connGroup.Go(func() {
@@ -132,12 +169,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
+	s.account.AddFixed(ConnectionBytes)
 }
 
 func (s *Server) remove(c *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.account.AddFixed(-ConnectionBytes)
+	c.releaseSlot()
 }
 
 func (s *Server) closeAll() {
--- a/daemon/pipeliner/pipeliner_test.go
+++ b/daemon/pipeliner/pipeliner_test.go
@@ -169,7 +169,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			_, dial := serve(t, func(_ context.Context, r *courier.Request) *courier.Answer {
-				return ok(fmt.Sprint(len(r.Body)))
+				return ok(fmt.Sprint(r.Body.Len()))
 			}, pipeliner.WithBounds(func() (pipeliner.Bounds, bool) { return bounds, true }))
 			conn := dial()
 			conn.send(c.text)
--- a/daemon/pipeliner/reader.go
+++ b/daemon/pipeliner/reader.go
@@ -1,107 +1,139 @@
 package pipeliner
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
+	"net/http/httputil"
+	"slices"
 	"strings"
 	"time"
 
+	"bluebellhoist/core/accountant"
 	"bluebellhoist/daemon/courier"
 )
 
-// errIdleTimeout reports that no call arrived or was in progress for Bounds.IdleTimeout.
-var errIdleTimeout = errors.New("idle")
+var (
+	// errIdleTimeout reports that no call arrived or was in progress for Bounds.IdleTimeout.
+	errIdleTimeout = errors.New("idle")
+	// errMalformed reports data that is not a valid call.
+	errMalformed = errors.New("malformed request")
+	// errTooManyFields reports a header section or a trailer with too many fields.
+	errTooManyFields = errors.New("too many header fields")
+	// errHeaderTooLarge reports a header section that exceeds Bounds.MaxHeaderBytes.
+	errHeaderTooLarge = errors.New("the header is too large")
+)
 
 // readCall reads one call. If the call is invalid, it returns the response that rejects it.
-func (c *connection) readCall() (*courier.Request, *courier.Answer, error) {
-	if err := c.awaitCall(); err != nil {
-		return nil, nil, err
-	}
+func (c *connection) readCall(ctx context.Context, holder *accountant.Holder) (*courier.Request, *courier.Answer, error) {
 	bounds := c.server.currentBounds()
-	c.limited.remaining = int64(bounds.MaxHeaderBytes)
 	c.setReadDeadline(time.Now().Add(bounds.HeaderTimeout))
-	r, err := http.ReadRequest(c.r)
+	r, err := c.readHead(ctx, holder, bounds)
+	if err != nil {
+		return c.refuseRead(holder, err, reasonHeaderTime)
+	}
+	if r.ContentLength > c.server.currentBounds().MaxBodyBytes {
+		return c.refuseRead(holder, courier.ErrBodyTooLarge, reasonBodyTime)
+	}
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		if err := c.writeContinue(ctx); err != nil {
+			return nil, nil, err
+		}
+	}
+	body, err := c.readBody(ctx, holder, r)
+	if err != nil {
+		return c.refuseRead(holder, err, reasonBodyTime)
+	}
+	courier.RemoveHopByHop(r.Header)
+	r.Header.Del("Expect") // handled above
+	return &courier.Request{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Close: r.Close || !r.ProtoAtLeast(1, 1),
+	}, nil, nil
+}
+
+// refuseRead returns the response to a call that could not be read, or the error if the connection is lost. timeoutReason
+// is counted if the call took too long.
+func (c *connection) refuseRead(holder *accountant.Holder, err error, timeoutReason string) (*courier.Request, *courier.Answer, error) {
+	status := http.StatusBadRequest
 	switch {
-	case err == nil:
-	case c.limited.remaining <= 0:
-		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large"), nil
-	case isTimeout(c.limited.lastErr):
-		return nil, refuse(http.StatusRequestTimeout, "the header took too long"), nil
-	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isConnError(c.limited.lastErr):
+	case errors.Is(err, accountant.ErrShed) || isTimeout(err) && holder.IsShed():
+		status, err = http.StatusServiceUnavailable, accountant.ErrShed
+	case isTimeout(err):
+		c.server.countLimited(timeoutReason, c.raw)
+		status, err = http.StatusRequestTimeout, errors.New("the call took too long to arrive")
+	case errors.Is(err, errHeaderTooLarge):
+		c.server.countLimited(reasonHeaderBytes, c.raw)
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errTooManyFields):
+		c.server.countLimited(reasonFields, c.raw)
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, courier.ErrBodyTooLarge), errors.Is(err, accountant.ErrTooLarge):
+		c.server.countLimited(reasonBodyBytes, c.raw)
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isConnError(c.input.lastErr) || errors.Is(err, context.Canceled):
 		return nil, nil, err
-	default:
-		return nil, refuse(http.StatusBadRequest, "malformed request: "+err.Error()), nil
 	}
-	return c.readBody(r)
+	return nil, refuse(status, err.Error()), nil
 }
 
 // awaitCall waits for the first byte of a call. It returns errIdleTimeout if none arrives in the idle time in force.
 func (c *connection) awaitCall() error {
-	c.limited.remaining = math.MaxInt64 // a single read of at most readBufferBytes
-	began := time.Now()
 	for {
-		c.setReadDeadline(time.Now().Add(c.idleTimeLeft(began)))
+		c.setReadDeadline(time.Now().Add(c.idleTimeLeft()))
 		_, err := c.r.Peek(1)
 		if err == nil || !isTimeout(err) {
 			return err
 		}
-		if c.closing.Load() || c.idleTimeLeft(began) <= 0 {
+		if c.closing.Load() || c.isDeadlineFinal() || c.idleTimeLeft() <= 0 {
 			return errIdleTimeout
 		}
 	}
 }
 
-// idleTimeLeft returns the time until a connection that has been waiting for a call since began is closed.
-func (c *connection) idleTimeLeft(began time.Time) time.Duration {
+// idleTimeLeft returns the time until a connection that waits for a call is closed.
+func (c *connection) idleTimeLeft() time.Duration {
 	idleTimeout := c.server.currentBounds().IdleTimeout
-	if c.pending.Load() > 0 {
-		return idleTimeout
+	if since, ok := c.idleSince(); ok {
+		return idleTimeout - time.Since(since)
 	}
-	if answered := c.lastAnswer.Load(); answered != nil && answered.After(began) {
-		began = *answered
-	}
-	return idleTimeout - time.Since(began)
+	return idleTimeout
 }
 
-// readBody reads the body of a call.
-func (c *connection) readBody(r *http.Request) (*courier.Request, *courier.Answer, error) {
-	bounds := c.server.currentBounds()
-	// Only the data of a body counts towards its limit. net/http limits what surrounds the data in chunked encoding.
-	c.limited.remaining = math.MaxInt64
-	if r.ContentLength > bounds.MaxBodyBytes {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is too large"), nil
+// readBody reads the body of a call. It applies the bounds in force while the body arrives.
+func (c *connection) readBody(ctx context.Context, holder *accountant.Holder, r *http.Request) (courier.Body, error) {
+	began := time.Now()
+	c.input.count = 0
+	c.input.beforeRead = func() { c.setReadDeadline(c.bodyDeadline(began)) }
+	defer func() { c.input.beforeRead = nil }()
+	reader := courier.BodyReader{
+		Limit: func() int64 { return c.server.currentBounds().MaxBodyBytes },
+		Grow:  func(bytes int64) error { return holder.Grow(ctx, bytes) },
 	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil, err
-		}
+	if !slices.Contains(r.TransferEncoding, "chunked") {
+		return reader.Read(c.r, max(r.ContentLength, 0))
 	}
-	c.limited.beforeRead = func() { c.setReadDeadline(time.Now().Add(c.server.currentBounds().IdleTimeout)) }
-	defer func() { c.limited.beforeRead = nil }()
-	body, err := io.ReadAll(io.LimitReader(r.Body, bounds.MaxBodyBytes+1))
-	switch {
-	case err != nil && isTimeout(err):
-		return nil, refuse(http.StatusRequestTimeout, "the body took too long"), nil
-	case errors.Is(err, io.ErrUnexpectedEOF) || isConnError(c.limited.lastErr):
-		return nil, nil, err
-	case err != nil:
-		return nil, refuse(http.StatusBadRequest, "malformed body: "+err.Error()), nil
-	case int64(len(body)) > bounds.MaxBodyBytes:
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is too large"), nil
+	body, err := reader.Read(httputil.NewChunkedReader(c.r), -1)
+	if err == nil {
+		err = c.skipTrailer()
 	}
-	courier.RemoveHopByHop(r.Header)
-	r.Header.Del("Expect") // handled above
-	return &courier.Request{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
-		Close: r.Close || !r.ProtoAtLeast(1, 1),
-	}, nil, nil
+	if err != nil && !errors.Is(err, courier.ErrBodyTooLarge) && c.input.lastErr == nil && !errors.Is(err, accountant.ErrShed) {
+		err = fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	return body, err
 }
 
-func refuse(status int, text string) *courier.Answer {
-	return &courier.Answer{Status: status, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte(text + "\n")}
+// bodyDeadline returns the time until which more of a body must arrive.
+func (c *connection) bodyDeadline(began time.Time) time.Time {
+	idleTimeout := c.server.currentBounds().IdleTimeout
+	minRateDeadline := began.Add(max(idleTimeout, minRateGrace) + time.Duration(c.input.count)*time.Second/minReadRate)
+	if idleDeadline := time.Now().Add(idleTimeout); idleDeadline.Before(minRateDeadline) {
+		return idleDeadline
+	}
+	return minRateDeadline
 }
 
 func isTimeout(err error) bool {
@@ -115,27 +147,20 @@
 	return errors.As(err, &opErr)
 }
 
-// limitedReader limits the bytes that are read for one call.
-type limitedReader struct {
+// inputReader reads from the connection of a caller.
+type inputReader struct {
 	r          io.Reader
-	remaining  int64
 	beforeRead func() // called before each read of r; optional
-	lastErr    error  // error of the last read; http.ReadRequest does not return it
+	count      int64  // number of bytes read
+	lastErr    error  // error of the last read; readers above it may return another one
 }
 
-// Read reads up to the limit and then returns io.ErrUnexpectedEOF.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, io.ErrUnexpectedEOF
-	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	if l.beforeRead != nil {
-		l.beforeRead()
+func (i *inputReader) Read(p []byte) (int, error) {
+	if i.beforeRead != nil {
+		i.beforeRead()
 	}
-	n, err := l.r.Read(p)
-	l.remaining -= int64(n)
-	l.lastErr = err
+	n, err := i.r.Read(p)
+	i.count += int64(n)
+	i.lastErr = err
 	return n, err
 }
--- a/daemon/pipeliner/socket.go
+++ b/daemon/pipeliner/socket.go
@@ -26,3 +26,11 @@
 	})
 	return err != nil || revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
+
+// limitSocketBuffers limits the memory of the kernel for a connection.
+func limitSocketBuffers(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(socketBufferBytes)
+		_ = tcp.SetWriteBuffer(socketBufferBytes)
+	}
+}
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellhoist/core/accountant"
 	"bluebellhoist/core/chronometer"
 	"bluebellhoist/core/connector"
 	"bluebellhoist/daemon/announcer"
@@ -21,6 +22,8 @@
 
 // buildComponents creates the components and connects them with each other.
 func (r *Runner) buildComponents(s Settings) {
+	r.account = accountant.New(accountant.WithMemory(s.Memory<<20), accountant.WithLogger(r.log.Named("accountant")))
+	r.connections = newConnectionLimits(s.Files, r.account.Size())
 	peers := connector.New(connector.WithSource(s.Bind.Addr()), connector.WithUserTimeout(connector.UserTimeout))
 	r.subscriber = subscriber.New(
 		subscriber.WithIdentity(s.Name, s.Domain, s.Batch),
@@ -79,6 +82,7 @@
 		forwarder.WithQuota(r.takeToken()),
 		forwarder.WithHeaderNames(r.names),
 		forwarder.WithDialPeer(peers.Dial),
+		forwarder.WithAccount(r.account),
 	)
 	r.buildRoutedComponents(s, peers)
 }
@@ -93,6 +97,7 @@
 		deliverer.WithBudget(r.budgeter.Check, r.budgeter.Begin),
 		deliverer.WithNeedsKey(r.authorizer.NeedsKey),
 		deliverer.WithHeaderNames(r.names),
+		deliverer.WithAccount(r.account),
 	)
 	r.dispatcher = dispatcher.New(
 		dispatcher.WithSnapshot(r.subscriber.Snapshot),
@@ -110,6 +115,8 @@
 	r.pipeliner = pipeliner.New(
 		pipeliner.WithHandler(r.handleRouted),
 		pipeliner.WithBounds(r.callerBounds),
+		pipeliner.WithAccount(r.account),
+		pipeliner.WithMaxConnections(r.connections.callers),
 		pipeliner.WithLogger(r.log.Named("pipeliner")),
 	)
 }
--- a/daemon/runner/gauges.go
+++ b/daemon/runner/gauges.go
@@ -48,5 +48,7 @@
 	})
 	set.NewGauge("bluebell_upstream_load", func() float64 { return float64(r.limiter.Load()) })
 	set.NewGauge("bluebell_upstream_limit", func() float64 { return float64(r.limiter.Limit()) })
+	set.NewGauge("bluebell_callers_memory_bytes", func() float64 { return float64(r.account.Used()) })
+	set.NewGauge("bluebell_callers_memory_limit_bytes", func() float64 { return float64(r.account.Size()) })
 	return set
 }
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
 
+	"bluebellhoist/core/accountant"
 	"bluebellhoist/core/carrier"
 	"bluebellhoist/core/chronometer"
 	"bluebellhoist/core/connector"
@@ -44,9 +45,6 @@
 // defaultUpstreamConns is the number of connections to an upstream if neither its reports nor the configuration state it.
 const defaultUpstreamConns = 64
 
-// headerTimeout bounds reading the header of a request to the daemon's own endpoints.
-const headerTimeout = 5 * time.Second
-
 // missedReportLimit is the number of consecutive missed reports after which the upstream is considered gone.
 const missedReportLimit = 5
 
@@ -74,6 +72,8 @@
 	pipeliner     *pipeliner.Server
 	spender       *spender.Spender // nil without quotas
 	carrier       *carrier.Carrier // nil without quotas
+	account       *accountant.Account
+	connections   connectionLimits
 	watcher       *watcher.Watcher // nil without a settings file
 	upstreamStart atomic.Int64     // announced start time of the local upstream, in milliseconds since the Unix epoch
 	stopping      atomic.Bool
--- a/daemon/runner/servers.go
+++ b/daemon/runner/servers.go
@@ -4,14 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 
+	"bluebellhoist/core/exchanger"
 	"bluebellhoist/core/exposer"
+	"bluebellhoist/core/gatekeeper"
 	"bluebellhoist/daemon/deliverer"
 	"bluebellhoist/daemon/forwarder"
 )
@@ -27,29 +28,42 @@
 	r.endpoints = append(r.endpoints, endpoint{addr, handler})
 }
 
-// boundServer is a server and its listen address.
+// boundServer is a server, its listen address and the gate of its connections.
 type boundServer struct {
 	addr   netip.AddrPort
+	gate   *gatekeeper.Gate
 	server *http.Server
 }
 
-// addServers opens the listeners for all endpoints and adds their servers to the group.
-func (r *Runner) addServers(componentsCtx context.Context, group *run.Group, s Settings) ([]*http.Server, error) {
-	peers := r.exchanger.Handler(r.peerHandler())
+// newGate returns the gate of an endpoint.
+func (r *Runner) newGate(name string, connections int) *gatekeeper.Gate {
+	return gatekeeper.New(name, gatekeeper.WithAccount(r.account), gatekeeper.WithMaxConnections(connections),
+		gatekeeper.WithLogger(r.log.Named("gatekeeper")))
+}
+
+// boundServers returns the servers of all endpoints.
+func (r *Runner) boundServers(s Settings) []boundServer {
+	calls, peers := r.newGate("calls", r.connections.callers), r.newGate("peers", r.connections.peers)
 	bound := []boundServer{
-		{s.Calls, forwarder.NewCallServer(r.forwarder.Egress())},
-		{s.bind(), forwarder.NewPeerServer(peers)},
+		{s.Calls, calls, calls.Apply(forwarder.NewCallServer(r.forwarder.Egress()))},
+		{s.bind(), peers, peers.Apply(forwarder.NewPeerServer(r.peerHandler(peers)))},
 	}
 	own := []endpoint{{s.Local, r.localHandler()}, {s.Metrics, exposer.New(r.newGauges())}}
 	for _, d := range append(own, r.endpoints...) {
-		bound = append(bound, boundServer{d.addr, &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout}})
+		gate := r.newGate(d.addr.String(), r.connections.own)
+		bound = append(bound, boundServer{d.addr, gate, gate.Server(d.handler)})
 	}
+	return bound
+}
+
+// addServers opens the listeners for all endpoints and adds their servers to the group.
+func (r *Runner) addServers(componentsCtx context.Context, group *run.Group, s Settings) ([]*http.Server, error) {
 	var servers []*http.Server
-	for _, a := range bound {
+	for _, a := range r.boundServers(s) {
 		if !a.addr.IsValid() {
 			continue
 		}
-		listener, err := net.Listen("tcp", a.addr.String())
+		listener, err := a.gate.Listen(a.addr)
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
@@ -65,16 +79,25 @@
 	return servers, nil
 }
 
-// peerHandler serves the routed calls and the service calls that other daemons send.
-func (r *Runner) peerHandler() http.Handler {
+// peerHandler serves the exchanges of gossip, the routed calls and the service calls that other daemons send. Calls account
+// for their memory themselves.
+func (r *Runner) peerHandler(gate *gatekeeper.Gate) http.Handler {
 	ingress := r.forwarder.Ingress()
-	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	calls := http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if deliverer.IsRoutedCall(request) {
 			r.deliverer.ServeHTTP(w, request)
 			return
 		}
 		ingress.ServeHTTP(w, request)
 	})
+	exchanges := gate.Handler(r.exchanger.Handler(calls))
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if exchanger.IsExchange(request) {
+			exchanges.ServeHTTP(w, request)
+			return
+		}
+		calls.ServeHTTP(w, request)
+	})
 }
 
 // localHandler serves the loopback API: the announcements of the upstream, the status and the metrics.
--- a/daemon/runner/settings.go
+++ b/daemon/runner/settings.go
@@ -38,6 +38,8 @@
 	Revoke         loader.Duration         `json:"revoke"`  // maximum age of the proof that calls with a key need; 0 if they need none
 	Metrics        netip.AddrPort          `json:"metrics"` // additional address for the metrics; optional
 	Quota          apportioner.Settings    `json:"quota"`   // limits of the calls of tenants; optional
+	Memory         int64                   `json:"memory"`  // memory of the process in MiB, of which callers get a share; optional
+	Files          int                     `json:"files"`   // descriptors that the process may open; optional
 }
 
 // Budget limits the retries of all daemons together.
@@ -98,6 +100,8 @@
 		return fmt.Errorf("%w: budget must not be negative", errSettings)
 	case s.Grace < 0 || s.ReportInterval < 0 || s.Revoke < 0:
 		return fmt.Errorf("%w: grace, beat and revoke must not be negative", errSettings)
+	case s.Memory < 0 || s.Files < 0:
+		return fmt.Errorf("%w: memory and files must not be negative", errSettings)
 	case hclog.LevelFromString(s.Level) == hclog.NoLevel:
 		return fmt.Errorf("%w: level %q is unknown", errSettings, s.Level)
 	}
