--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -63,8 +63,6 @@
 
 	// OverBudget means that the retry budget kept the call from the upstream, which may have room for other calls.
 	OverBudget bool
-	// MeanDuration is the mean duration of calls on the route at the upstream, with an answer.
-	MeanDuration time.Duration
 }
 
 // SlotOutcome tells the limiter how the call that held a slot ended.
@@ -211,9 +209,6 @@
 	if slotOutcome == OK || slotOutcome == TimedOut {
 		d.durations.observe(c.Route, time.Since(began))
 	}
-	if result.Outcome == Answered {
-		result.MeanDuration = d.durations.mean(c.Route)
-	}
 	return result
 }
 
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -23,9 +23,6 @@
 	// headerTenant holds the name of the tenant of a call.
 	headerTenant = "Bluebell-Tenant"
 
-	// headerDuration holds the mean duration of calls on the route at the upstream, in milliseconds.
-	headerDuration = "Bluebell-Duration"
-
 	fieldSeparator = ";"
 	callFields     = 7
 	resultFields   = 4
@@ -130,9 +127,6 @@
 	if r.OverBudget {
 		h.Set(budgeter.HeaderOverBudget, "true")
 	}
-	if r.MeanDuration > 0 {
-		h.Set(headerDuration, millis(r.MeanDuration))
-	}
 	if r.Answer == nil {
 		w.WriteHeader(status)
 		return
@@ -156,9 +150,6 @@
 		Outcome: Outcome(fields[0]), Load: load, Sent: fields[2] == "true", Reason: fields[3],
 		OverBudget: answer.Header.Get(budgeter.HeaderOverBudget) != "",
 	}
-	if ms, err := strconv.ParseInt(answer.Header.Get(headerDuration), 10, 64); err == nil && ms > 0 {
-		r.MeanDuration = time.Duration(ms) * time.Millisecond
-	}
 	switch r.Outcome {
 	case Answered:
 		courier.RemoveHopByHop(answer.Header)
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -143,9 +143,7 @@
 	if ctx.Err() != nil && result.Outcome != deliverer.Answered {
 		attemptResult = Canceled
 	}
-	report(Outcome{
-		Result: attemptResult, Latency: time.Since(started), Load: result.Load, MeanDuration: result.MeanDuration,
-	})
+	report(Outcome{Result: attemptResult, Latency: time.Since(started), Load: result.Load})
 	c.d.log.Debug("attempt", "id", c.id, "route", c.route.Name, "service", c.service, "member", member.Name,
 		"outcome", result.Outcome, "reason", result.Reason, "load", result.Load)
 	switch result.Outcome {
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -65,8 +65,6 @@
 	Result  Result
 	Latency time.Duration
 	Load    int // load reported by the member, or -1
-	// MeanDuration is the mean duration of calls on the route at the member, or zero if it reported none.
-	MeanDuration time.Duration
 }
 
 // Result tells how an attempt ended.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -121,9 +121,9 @@
 	}
 	now := c.router.now()
 	if o.Result == OK {
-		c.service.meanLatency.observe(o.sample(), now)
+		c.service.meanLatency.observe(o.Latency, now)
 	}
-	if failing := c.chosen.stats.end(c.chosen, o, c.start, now, c.service.meanLatency.value()); !failing {
+	if failing := c.chosen.stats.end(o, c.start, now, c.service.meanLatency.value()); !failing {
 		return
 	}
 	if d := c.service.eject(c.chosen, now); d > 0 {
@@ -144,8 +144,8 @@
 // choose prefers members in the same failure domain while they accept calls. If no member is eligible, or the best one
 // is failing and not due for a probe, it falls back to the cheapest member that was not selected yet, even an ejected one.
 func (p *pick) choose() *candidate {
-	chosen, chosenCost := p.bestOfSample(p.index.local)
-	remote, remoteCost := p.bestOfSample(p.index.remote)
+	chosen, chosenCost := p.bestOfTwo(p.index.local)
+	remote, remoteCost := p.bestOfTwo(p.index.remote)
 	if remote != nil && (chosen == nil || shouldSpill(chosenCost, remoteCost)) {
 		chosen, chosenCost = remote, remoteCost
 	}
@@ -155,39 +155,38 @@
 	return chosen
 }
 
-// bestOfSample returns the cheapest of sampleSize random eligible members and its cost, or nil if none is eligible.
-func (p *pick) bestOfSample(candidates []*candidate) (*candidate, cost) {
-	var sampled [sampleSize]*candidate
-	var best *candidate
-	var lowest cost
-	for i := range sampled {
-		c := p.sample(candidates, sampled[:i])
-		if c == nil {
-			break
-		}
-		sampled[i] = c
-		if cost := c.stats.cost(c, p.now, p.serviceMean); best == nil || cost.score < lowest.score {
-			best, lowest = c, cost
-		}
+// bestOfTwo returns the cheaper of two random eligible members and its cost, or nil if none is eligible.
+func (p *pick) bestOfTwo(candidates []*candidate) (*candidate, cost) {
+	first := p.sample(candidates, nil)
+	if first == nil {
+		return nil, cost{}
+	}
+	firstCost := first.stats.cost(first, p.now, p.serviceMean)
+	second := p.sample(candidates, first)
+	if second == nil {
+		return first, firstCost
+	}
+	if secondCost := second.stats.cost(second, p.now, p.serviceMean); secondCost.score < firstCost.score {
+		return second, secondCost
 	}
-	return best, lowest
+	return first, firstCost
 }
 
-// sample returns a random eligible member that is not in exclude, or nil. It draws independent samples before it scans,
+// sample returns a random eligible member other than exclude, or nil. It draws independent samples before it scans,
 // because a scan alone would double the share of the member that follows an ineligible one.
-func (p *pick) sample(candidates, exclude []*candidate) *candidate {
-	if len(candidates) <= len(exclude) {
+func (p *pick) sample(candidates []*candidate, exclude *candidate) *candidate {
+	if len(candidates) == 0 || (len(candidates) == 1 && candidates[0] == exclude) {
 		return nil
 	}
 	single := len(candidates) == 1
 	for range maxSamples {
-		if c := candidates[p.router.random(len(candidates))]; !slices.Contains(exclude, c) && p.eligible(c, single) {
+		if c := candidates[p.router.random(len(candidates))]; c != exclude && p.eligible(c, single) {
 			return c
 		}
 	}
 	start := p.router.random(len(candidates))
 	for i := range candidates {
-		if c := candidates[(start+i)%len(candidates)]; !slices.Contains(exclude, c) && p.eligible(c, single) {
+		if c := candidates[(start+i)%len(candidates)]; c != exclude && p.eligible(c, single) {
 			return c
 		}
 	}
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -11,8 +11,6 @@
 // service holds the members of one service and their statistics.
 type service struct {
 	meanLatency movingAverage // of successful calls to all members
-	local       utilization   // of the members in the failure domain of the router
-	remote      utilization   // of the members in other failure domains
 	index       atomic.Pointer[memberIndex]
 	mu          sync.Mutex // held to replace the index and to eject a member
 }
@@ -29,7 +27,6 @@
 type candidate struct {
 	member wire.Member
 	stats  *stats
-	peers  *utilization // of the members in the same or in the other failure domains
 }
 
 // index returns a service and the index of its current members, which is empty if there are none.
@@ -56,7 +53,7 @@
 	if sameSlice(previous.source, members) && len(members) > 0 {
 		return s, previous
 	}
-	index := s.newMemberIndex(name, r.domain, members, previous, now)
+	index := newMemberIndex(name, r.domain, members, previous, now)
 	s.index.Store(index)
 	if len(index.byName) == 0 {
 		r.services.CompareAndDelete(name, v)
@@ -70,17 +67,14 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-func (s *service) newMemberIndex(name, domain string, members []wire.Member, previous *memberIndex, now time.Time) *memberIndex {
+func newMemberIndex(name, domain string, members []wire.Member, previous *memberIndex, now time.Time) *memberIndex {
 	index := &memberIndex{source: members, byName: make(map[string]*candidate)}
 	for i := range members {
 		m := &members[i]
 		if m.Service != name {
 			continue
 		}
-		c := &candidate{member: *m, peers: &s.remote}
-		if m.Domain == domain {
-			c.peers = &s.local
-		}
+		c := &candidate{member: *m}
 		if old := previous.byName[m.Name]; old != nil && old.member.Since == m.Since && old.member.Addr == m.Addr {
 			c.stats = old.stats
 		} else {
--- a/daemon/router/stats.go
+++ b/daemon/router/stats.go
@@ -30,17 +30,6 @@
 	Latency time.Duration
 	// Load is the load that the member reported with an OK or Refused answer, or negative if it reported none.
 	Load int
-	// MeanDuration is the mean duration of the calls of all daemons on the same route at the member, or zero if unknown.
-	MeanDuration time.Duration
-}
-
-// sample returns the duration from which the speed of the member is learned. The mean over the calls of all daemons varies
-// far less than the latency of one call, and does not count the wait for a slot, which the load accounts for.
-func (o Outcome) sample() time.Duration {
-	if o.MeanDuration > 0 {
-		return o.MeanDuration
-	}
-	return o.Latency
 }
 
 const (
@@ -76,8 +65,6 @@
 	// are free: calls then end sooner at a fast member than at a slow one with less load.
 	idleUtilization = 0.4
 
-	// sampleSize is the number of members of which a call takes the cheapest.
-	sampleSize = 4
 	// maxSamples is the number of independent samples before a scan.
 	maxSamples = 6
 	// minRelativeSpeed is the minimum of relativeSpeed, with which a slow member takes part in the selection. Slow start
@@ -164,13 +151,12 @@
 }
 
 // end records the outcome of a call and reports whether the member should be ejected.
-func (s *stats) end(c *candidate, o Outcome, start, now time.Time, serviceMean time.Duration) bool {
+func (s *stats) end(o Outcome, start, now time.Time, serviceMean time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o.Load >= 0 && (o.Result == OK || o.Result == Refused) {
 		// The report includes the calls of this daemon, whose number is known exactly.
 		s.reportedLoad, s.lastReported = max(0, o.Load-s.inflight), now
-		c.peers.observe(s.reportedLoad, c.slots(), now)
 	}
 	s.inflight--
 	s.startSum -= start.Sub(s.firstSeen).Microseconds()
@@ -179,7 +165,7 @@
 	case OK:
 		s.consecutiveFailures.Store(0)
 		s.consecutiveRefusals = 0
-		s.observe(o.sample(), now, serviceMean)
+		s.observe(o.Latency, now, serviceMean)
 	case Refused:
 		s.consecutiveFailures.Store(0)
 		s.lastRefused = now
@@ -233,16 +219,9 @@
 	return max(1, unobserved+(s.meanLatency-unobserved)*decay(now.Sub(s.lastObserved), latencyDecay))
 }
 
-// otherLoad returns the load from other daemons as last reported by the member. With its age, the report is replaced by
-// the mean of the members around it: a member that this daemon has not called lately is not idle because of that.
-func (s *stats) otherLoad(c *candidate, now time.Time) float64 {
-	if s.lastReported.IsZero() {
-		return 0
-	}
-	slots := c.slots()
-	weight := decay(now.Sub(s.lastReported), loadDecay)
-	reported := min(float64(s.reportedLoad), maxReportedLoadFactor*slots)
-	return reported*weight + c.peers.mean(now)*slots*(1-weight)
+// otherLoad returns the load from other daemons as last reported by the member, decayed by age.
+func (s *stats) otherLoad(slots float64, now time.Time) float64 {
+	return min(float64(s.reportedLoad), maxReportedLoadFactor*slots) * decay(now.Sub(s.lastReported), loadDecay)
 }
 
 // cost is the expected cost of sending one more call to a member; lower is better.
@@ -276,7 +255,7 @@
 	if c.member.State == "suspect" {
 		latency *= suspectPenalty
 	}
-	load := float64(s.inflight) + s.otherLoad(c, now)
+	load := float64(s.inflight) + s.otherLoad(slots, now)
 	loadedLatency := (idleUtilization + (load+1)/slots) * latency
 	result := cost{score: loadedLatency, latency: latency, loadedLatency: loadedLatency, utilization: load / slots,
 		refusedRecently: s.refusedRecently(now)}
--- a/daemon/runner/adapters.go
+++ b/daemon/runner/adapters.go
@@ -129,9 +129,7 @@
 		return wire.Member{}, nil, err
 	}
 	return member, func(o dispatcher.Outcome) {
-		done(router.Outcome{
-			Result: routerResultOfDispatch[o.Result], Latency: o.Latency, Load: o.Load, MeanDuration: o.MeanDuration,
-		})
+		done(router.Outcome{Result: routerResultOfDispatch[o.Result], Latency: o.Latency, Load: o.Load})
 	}, nil
 }
 
