Take the order by rank back

Both kinds of calls of the busiest service were served less, the more urgent one too (0.956 and 0.919), so slots stay free or refusals come too early. Not traced yet.

--- a/daemon/deliverer/admission.go
+++ b/daemon/deliverer/admission.go
@@ -1,10 +1,9 @@
 package deliverer
 
-import (
-	"time"
+import "time"
 
-	"bluebellhoist/daemon/limiter"
-)
+// LateClass is the class of calls that can no longer be answered by their target.
+const LateClass = "late"
 
 const (
 	// startMargin is how long before its target a waiting call must start, in multiples of the mean duration. It is
@@ -20,10 +19,9 @@
 //
 // A call that is answered after its target takes the slot of one that could be answered in time. Under load a new call
 // is therefore refused early enough for its caller to retry. The call of a retrying caller waits as long as its target
-// can be met; after that it gets a slot only if no other call waits for one. A call that a running call makes may wait until
-// its deadline, since the run of its parent is lost with it.
-func (c Call) Admission(now time.Time, meanDuration time.Duration) (class limiter.Class, latest time.Time) {
-	if c.Target.IsZero() || c.Class.Nested {
+// can be met; after that it gets a slot only if no other call waits for one.
+func (c Call) Admission(now time.Time, meanDuration time.Duration) (class string, latest time.Time) {
+	if c.Target.IsZero() {
 		return c.Class, c.Deadline.Add(-meanDuration)
 	}
 	start := c.Target.Add(-time.Duration(startMargin * float64(meanDuration)))
@@ -31,7 +29,7 @@
 		start = c.Target.Add(-meanDuration)
 	}
 	if c.CallerRetry && !start.After(now) {
-		return limiter.Class{Rank: c.Class.Rank, Late: true}, now.Add(time.Duration(lateWaitShare * float64(c.Deadline.Sub(now))))
+		return LateClass, now.Add(time.Duration(lateWaitShare * float64(c.Deadline.Sub(now))))
 	}
 	if start.After(c.Deadline) {
 		start = c.Deadline
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -15,7 +15,6 @@
 	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
-	"bluebellhoist/daemon/limiter"
 )
 
 const (
@@ -42,7 +41,7 @@
 type Call struct {
 	Request     *courier.Request
 	Service     string
-	Class       limiter.Class
+	Class       string
 	Deadline    time.Time
 	Target      time.Time     // the answer should arrive by then; zero for none
 	Route       string        // name of the route; calls on one route take about the same time
@@ -79,7 +78,7 @@
 // Deliverer sends calls to the local upstream.
 type Deliverer struct {
 	upstream      func() (wire.Upstream, bool)
-	acquire       func(ctx context.Context, class limiter.Class, latest time.Time) (func(SlotOutcome), error)
+	acquire       func(ctx context.Context, class string, latest time.Time) (func(SlotOutcome), error)
 	onUnreachable func(wire.Upstream)
 	load          func() int
 	checkBudget   func(budgeter.Arrival) error
@@ -101,7 +100,7 @@
 }
 
 // WithAcquire sets the function that acquires a slot. If none is free, it waits until latest.
-func WithAcquire(acquire func(ctx context.Context, class limiter.Class, latest time.Time) (func(SlotOutcome), error)) Option {
+func WithAcquire(acquire func(ctx context.Context, class string, latest time.Time) (func(SlotOutcome), error)) Option {
 	return func(d *Deliverer) { d.acquire = acquire }
 }
 
--- a/daemon/deliverer/deliverer_test.go
+++ b/daemon/deliverer/deliverer_test.go
@@ -16,7 +16,6 @@
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
-	"bluebellhoist/daemon/limiter"
 )
 
 // fixture is a deliverer in front of a test upstream.
@@ -38,7 +37,7 @@
 	names.Attempt, names.Deadline, names.Target, names.NotRun, names.Signature = "Attempt", "Deadline", "Target", "Not-Run", "Proof"
 	f.Deliverer = deliverer.New(
 		deliverer.WithUpstream(func() (wire.Upstream, bool) { return f.upstream, f.present }),
-		deliverer.WithAcquire(func(context.Context, limiter.Class, time.Time) (func(deliverer.SlotOutcome), error) {
+		deliverer.WithAcquire(func(context.Context, string, time.Time) (func(deliverer.SlotOutcome), error) {
 			return func(deliverer.SlotOutcome) {}, nil
 		}),
 		deliverer.WithUnreachable(func(wire.Upstream) { f.unreachable++ }),
@@ -50,7 +49,7 @@
 func newCall(repeatable bool) deliverer.Call {
 	return deliverer.Call{
 		Request: &courier.Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Attempt": {"1"}}},
-		Service: "s", Class: limiter.Class{Rank: limiter.NormalRank}, Deadline: time.Now().Add(time.Minute), Retryable: repeatable,
+		Service: "s", Class: "normal", Deadline: time.Now().Add(time.Minute), Retryable: repeatable,
 	}
 }
 
@@ -140,7 +139,7 @@
 		f := newFixture(t, reply(200, "Proof", "p"))
 		d := deliverer.New(
 			deliverer.WithUpstream(func() (wire.Upstream, bool) { return f.upstream, f.present }),
-			deliverer.WithAcquire(func(context.Context, limiter.Class, time.Time) (func(deliverer.SlotOutcome), error) {
+			deliverer.WithAcquire(func(context.Context, string, time.Time) (func(deliverer.SlotOutcome), error) {
 				f.present = false
 				return func(deliverer.SlotOutcome) {}, nil
 			}),
@@ -250,7 +249,7 @@
 	allTaken := false
 	d := deliverer.New(
 		deliverer.WithUpstream(func() (wire.Upstream, bool) { return f.upstream, true }),
-		deliverer.WithAcquire(func(_ context.Context, _ limiter.Class, start time.Time) (func(deliverer.SlotOutcome), error) {
+		deliverer.WithAcquire(func(_ context.Context, _ string, start time.Time) (func(deliverer.SlotOutcome), error) {
 			latest = start
 			if allTaken {
 				return nil, full
--- a/daemon/deliverer/memory_test.go
+++ b/daemon/deliverer/memory_test.go
@@ -18,7 +18,6 @@
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
-	"bluebellhoist/daemon/limiter"
 )
 
 // TestMemory guards against calls from other daemons that together exceed the memory for calls, and against a wrong result
@@ -33,7 +32,7 @@
 	})
 	d := deliverer.New(
 		deliverer.WithUpstream(func() (wire.Upstream, bool) { return f.upstream, true }),
-		deliverer.WithAcquire(func(context.Context, limiter.Class, time.Time) (func(deliverer.SlotOutcome), error) {
+		deliverer.WithAcquire(func(context.Context, string, time.Time) (func(deliverer.SlotOutcome), error) {
 			return func(deliverer.SlotOutcome) {}, nil
 		}),
 		deliverer.WithAccount(account),
--- a/daemon/deliverer/peer.go
+++ b/daemon/deliverer/peer.go
@@ -15,7 +15,7 @@
 
 // Headers between daemons. Each holds several fields to keep calls between failure domains small.
 const (
-	// headerCall holds service, name of the class, milliseconds until the deadline, milliseconds until the target (empty if there is
+	// headerCall holds service, class, milliseconds until the deadline, milliseconds until the target (empty if there is
 	// none), route, whether the call may run more than once, and whether its caller is retrying.
 	headerCall = "Bluebell-Order"
 	// headerResult holds outcome, load, whether the call was sent to the upstream, and reason.
@@ -45,14 +45,13 @@
 		target = millis(time.Until(c.Target))
 	}
 	request.Header.Set(headerCall, strings.Join([]string{
-		c.Service, c.Class.Name(), millis(time.Until(c.Deadline)), target, url.QueryEscape(c.Route), strconv.FormatBool(c.Retryable),
+		c.Service, c.Class, millis(time.Until(c.Deadline)), target, url.QueryEscape(c.Route), strconv.FormatBool(c.Retryable),
 		strconv.FormatBool(c.CallerRetry),
 	}, fieldSeparator))
 	request.Header.Del(headerTenant)
 	if c.Tenant != "" {
 		request.Header.Set(headerTenant, c.Tenant)
 	}
-	setClass(request.Header, c.Class)
 	if arrival := budgeter.EncodeArrival(c.Kind, c.Started, time.Now()); arrival != "" {
 		request.Header.Set(budgeter.HeaderArrival, arrival)
 	}
@@ -72,12 +71,9 @@
 	c := Call{
 		Request: &courier.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header},
 		Service: fields[0],
+		Class:   fields[1],
 		Tenant:  r.Header.Get(headerTenant),
 	}
-	var err error
-	if c.Class, err = readClass(r.Header, fields[1]); err != nil {
-		return Call{}, err
-	}
 	left, err := strconv.ParseInt(fields[2], 10, 64)
 	if err != nil {
 		return Call{}, fmt.Errorf("%w: deadline: %v", errPeerHeader, err)
--- a/daemon/dispatcher/authorize_test.go
+++ b/daemon/dispatcher/authorize_test.go
@@ -20,7 +20,6 @@
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
 	"bluebellhoist/daemon/dispatcher"
-	"bluebellhoist/daemon/limiter"
 	"bluebellhoist/daemon/pipeliner"
 )
 
@@ -139,15 +138,15 @@
 func TestTenantRank(t *testing.T) {
 	urgent, bulk := 0, 9
 	for _, c := range []struct {
-		name string
-		rank *int
-		want limiter.Class
-	}{{"none", nil, limiter.Class{}}, {"urgent", &urgent, limiter.Class{}}, {"bulk", &bulk, limiter.Class{Rank: bulk}}} {
+		name  string
+		rank  *int
+		class string
+	}{{"none", nil, compiler.Urgent}, {"urgent", &urgent, compiler.Urgent}, {"bulk", &bulk, compiler.Bulk}} {
 		t.Run(c.name, func(t *testing.T) {
 			k := newKeyed(t)
 			k.snapshot = tenantSnapshot(t, 1, map[string]string{"k": "alfa"}, c.rank)
 			k.Handle(t.Context(), newKeyedRequest("/r/x", "k"))
-			is.New(t).Equal(k.calls[0].Class, c.want)
+			is.New(t).Equal(k.calls[0].Class, c.class)
 		})
 	}
 }
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -6,12 +6,12 @@
 	"net/http"
 	"time"
 
+	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 	"bluebellhoist/daemon/deliverer"
-	"bluebellhoist/daemon/limiter"
 )
 
 // call is one in-flight call.
@@ -234,9 +234,21 @@
 	return max(minRetryAfter, min(time.Duration(retryAfterShare*float64(left)), maxRetryAfter))
 }
 
-// class returns the priority class of the call. A call that a running call makes keeps its place when it is retried.
-func (c *call) class() limiter.Class {
-	return limiter.Class{Rank: c.rank(), Nested: c.firstKind == budgeter.Nested || c.firstKind == budgeter.Caused}
+// Numerically highest ranks of the classes urgent and normal; rank 0 is the most urgent.
+const (
+	maxUrgentRank = 1
+	maxNormalRank = 2
+)
+
+// class returns the priority class for the rank of the call.
+func (c *call) class() string {
+	switch rank := c.rank(); {
+	case rank <= maxUrgentRank:
+		return compiler.Urgent
+	case rank <= maxNormalRank:
+		return compiler.Normal
+	}
+	return compiler.Bulk
 }
 
 // logSampleInterval is the interval of the log sample: of the calls that succeed at the first attempt, one in
--- a/daemon/dispatcher/metrics.go
+++ b/daemon/dispatcher/metrics.go
@@ -12,7 +12,7 @@
 
 // recordCall records the duration of a call by class and service, and its status by service.
 func (c *call) recordCall(status int, took time.Duration) {
-	name := fmt.Sprintf(`bluebell_route_seconds{class=%q,service=%q}`, c.class().Name(), c.service)
+	name := fmt.Sprintf(`bluebell_route_seconds{class=%q,service=%q}`, c.class(), c.service)
 	metrics.GetOrCreateHistogram(name).Update(took.Seconds())
 	metrics.GetOrCreateCounter(fmt.Sprintf(`bluebell_route_answers_total{service=%q,status="%d"}`, c.service, status)).Inc()
 }
--- a/daemon/forwarder/fixture_test.go
+++ b/daemon/forwarder/fixture_test.go
@@ -216,7 +216,7 @@
 			return wire.Upstream{Address: upstreamAddr, Service: m.service, Conns: m.maxConns}, true
 		}),
 		forwarder.WithSnapshot(func() *compiler.Snapshot { return m.snapshot }),
-		forwarder.WithAcquire(func(context.Context, string, bool) (func(forwarder.Outcome), error) {
+		forwarder.WithAcquire(func(context.Context, string) (func(forwarder.Outcome), error) {
 			if m.onSlot != nil {
 				m.onSlot()
 			}
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -86,7 +86,7 @@
 type Forwarder struct {
 	snapshot func() *compiler.Snapshot
 	pick     func(service string, skip []string) (wire.Member, func(Outcome), error)
-	acquire  func(ctx context.Context, class string, nested bool) (func(Outcome), error)
+	acquire  func(ctx context.Context, class string) (func(Outcome), error)
 	load     func() int
 	upstream func() (wire.Upstream, bool)
 	claim    func(context.Context, wire.Claim) (wire.Verdict, error)
@@ -123,10 +123,9 @@
 	return func(f *Forwarder) { f.pick = pick }
 }
 
-// WithAcquire sets the function that acquires a concurrency slot for a call of a class, which a running call makes if nested is
-// true. The returned function releases the slot and is called
+// WithAcquire sets the function that acquires a concurrency slot. The returned function releases the slot and is called
 // once.
-func WithAcquire(acquire func(ctx context.Context, class string, nested bool) (func(Outcome), error)) Option {
+func WithAcquire(acquire func(ctx context.Context, class string) (func(Outcome), error)) Option {
 	return func(f *Forwarder) { f.acquire = acquire }
 }
 
@@ -216,7 +215,7 @@
 		pick: func(string, []string) (wire.Member, func(Outcome), error) {
 			return wire.Member{}, nil, errors.New("no members")
 		},
-		acquire:  func(context.Context, string, bool) (func(Outcome), error) { return nil, errors.New("no slots") },
+		acquire:  func(context.Context, string) (func(Outcome), error) { return nil, errors.New("no slots") },
 		load:     func() int { return 0 },
 		upstream: func() (wire.Upstream, bool) { return wire.Upstream{}, false },
 		claim: func(context.Context, wire.Claim) (wire.Verdict, error) {
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -61,7 +61,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	releaseSlot, err := f.acquire(ctx, r.Header.Get(HeaderClass), c.kind == budgeter.Nested || c.kind == budgeter.Caused)
+	releaseSlot, err := f.acquire(ctx, r.Header.Get(HeaderClass))
 	if err != nil {
 		f.writeIngressError(w, r, errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "no slot: %v", err))
 		return
--- a/daemon/limiter/acquire.go
+++ b/daemon/limiter/acquire.go
@@ -11,23 +11,23 @@
 // call is an admitted call.
 type call struct {
 	limiter *Limiter
-	class   Class
+	class   string
 	seq     uint64
 	start   time.Time
 	ended   atomic.Bool
 }
 
 // Acquire waits until a call of the given class may be sent to the upstream, or returns an error if it is not admitted.
-// The caller must call done once the call has ended; further calls of done have no effect.
-func (l *Limiter) Acquire(ctx context.Context, class Class) (done func(Outcome), err error) {
+// The caller must call done once the call has ended; further calls of done have no effect. Unknown classes count as
+// normal.
+func (l *Limiter) Acquire(ctx context.Context, class string) (done func(Outcome), err error) {
 	latestStart, _ := ctx.Deadline()
 	return l.AcquireBefore(ctx, class, latestStart)
 }
 
 // AcquireBefore is like Acquire, but a call that has to wait must start by latest. A free slot is granted even after
-// latest. If too few calls of the class were served, compared with less urgent classes or with all calls, the call may wait
-// until the deadline of ctx.
-func (l *Limiter) AcquireBefore(ctx context.Context, class Class, latestStart time.Time) (done func(Outcome), err error) {
+// latest.
+func (l *Limiter) AcquireBefore(ctx context.Context, class string, latestStart time.Time) (done func(Outcome), err error) {
 	arrival := l.now()
 	c, err := l.admitOrWait(ctx, class, latestStart, arrival)
 	if err != nil {
@@ -42,13 +42,12 @@
 	return c.done, nil
 }
 
-func (l *Limiter) admitOrWait(ctx context.Context, class Class, latestStart, now time.Time) (*call, error) {
+func (l *Limiter) admitOrWait(ctx context.Context, class string, latestStart, now time.Time) (*call, error) {
 	if ctx.Err() != nil {
 		return nil, contextError(ctx)
 	}
-	deadline, _ := ctx.Deadline()
 	l.mu.Lock()
-	seq, w, err := l.admit(class, latestStart, deadline, now)
+	seq, w, err := l.admit(classIndexOf(class), latestStart, now)
 	l.mu.Unlock()
 	if err != nil {
 		return nil, err
@@ -56,9 +55,9 @@
 	if w == nil {
 		return &call{limiter: l, class: class, seq: seq, start: now}, nil
 	}
-	if !w.latestStart.IsZero() {
+	if !latestStart.IsZero() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, w.latestStart)
+		ctx, cancel = context.WithDeadline(ctx, latestStart)
 		defer cancel()
 	}
 	if err := l.wait(ctx, w); err != nil {
@@ -69,51 +68,34 @@
 
 // admit grants a slot and returns the sequence number of the call, or queues the call and returns its waiter, or
 // returns an error if it refuses the call. The lock must be held.
-func (l *Limiter) admit(class Class, latestStart, deadline, now time.Time) (uint64, *waiter, error) {
+func (l *Limiter) admit(classIndex int, latestStart, now time.Time) (uint64, *waiter, error) {
 	switch {
 	case l.draining:
 		return 0, nil, ErrDraining
 	case l.capacity.slots == 0:
 		return 0, nil, ErrNoUpstream
-	}
-	i := l.schedule.find(class, now)
-	q := l.schedule.queues[i]
-	l.schedule.arrive(i, now)
-	switch {
 	case l.schedule.length == 0 && l.inflight < l.capacity.maxInflight():
 		l.load.Add(1)
-		q.grant(now)
 		return l.grant(now), nil, nil
-	case q.length >= l.maxQueue:
-		return 0, nil, fmt.Errorf("%w: %d calls of %s", ErrFull, l.maxQueue, class)
-	case !class.Nested && l.schedule.nestedFull(l.maxQueue):
-		return 0, nil, fmt.Errorf("%w: %d calls of running calls", ErrFull, l.maxQueue)
+	case l.schedule.queues[classIndex].length >= l.maxQueue:
+		return 0, nil, fmt.Errorf("%w: %d calls of class %s", ErrFull, l.maxQueue, classes[classIndex].name)
 	}
-	if l.schedule.isOwed(i) {
-		latestStart = deadline
-	}
-	if wait := l.estimate(i, now); !latestStart.IsZero() && !now.Add(wait).Before(latestStart) {
+	l.schedule.arrive(classIndex)
+	if wait := l.estimate(classIndex, now); !latestStart.IsZero() && !now.Add(wait).Before(latestStart) {
 		return 0, nil, fmt.Errorf("%w: estimated wait %v, time left %v", ErrDeadline, wait, latestStart.Sub(now))
 	}
-	w := &waiter{queue: q, latestStart: latestStart, ready: make(chan struct{})}
+	w := &waiter{classIndex: classIndex, latestStart: latestStart, ready: make(chan struct{})}
 	l.schedule.push(w)
 	l.load.Add(1)
 	return 0, w, nil
 }
 
-// minOwnShare bounds the share of the slots that a class is taken to get beside more urgent ones.
-const minOwnShare = 1e-3
-
-// estimate returns how long a new call of the class at index i would wait. The lock must be held.
-func (l *Limiter) estimate(i int, now time.Time) time.Duration {
+// estimate returns how long a new call of the given class would wait. The lock must be held.
+func (l *Limiter) estimate(classIndex int, now time.Time) time.Duration {
 	// All in-flight calls have lasted at least since the last change, so a frozen upstream raises the estimate before
 	// any of them has ended.
 	serviceTime := max(l.capacity.meanServiceTime, now.Sub(l.lastChange))
-	perCall := float64(serviceTime) / float64(max(l.capacity.maxInflight(), 1))
-	w := l.schedule.estimate(i, now)
-	// More urgent calls keep arriving and take their share of the slots while calls of this class wait.
-	ownShare := max(1-w.busy*perCall/float64(time.Second), minOwnShare)
-	return time.Duration(perCall * (float64(w.ahead-w.own) + float64(w.own)/ownShare))
+	return time.Duration(l.schedule.position(classIndex)) * serviceTime / time.Duration(max(l.capacity.maxInflight(), 1))
 }
 
 // wait blocks until w is granted or refused, or ctx ends.
@@ -151,7 +133,7 @@
 			l.refuseOne(w, ErrDeadline)
 			continue
 		}
-		l.schedule.serve(w, now)
+		l.schedule.serve(w)
 		w.seq = l.grant(now)
 		close(w.ready)
 	}
--- a/daemon/limiter/acquire_test.go
+++ b/daemon/limiter/acquire_test.go
@@ -17,12 +17,12 @@
 	is := is.New(t)
 	l := limiter.New(limiter.WithSlots(1))
 	past := time.Now().Add(-time.Second)
-	done, err := l.AcquireBefore(context.Background(), limiter.NamedClass("normal"), past)
+	done, err := l.AcquireBefore(context.Background(), "normal", past)
 	is.NoErr(err)
-	_, err = l.AcquireBefore(context.Background(), limiter.NamedClass("normal"), past)
+	_, err = l.AcquireBefore(context.Background(), "normal", past)
 	is.True(errors.Is(err, limiter.ErrDeadline))
 	done(limiter.OK)
-	_, err = l.AcquireBefore(context.Background(), limiter.NamedClass("normal"), past)
+	_, err = l.AcquireBefore(context.Background(), "normal", past)
 	is.NoErr(err)
 }
 
--- a/daemon/limiter/bench_test.go
+++ b/daemon/limiter/bench_test.go
@@ -18,7 +18,7 @@
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
-					done, err := l.Acquire(ctx, limiter.NamedClass("normal"))
+					done, err := l.Acquire(ctx, "normal")
 					if err != nil {
 						b.Error(err)
 						return
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -1,4 +1,4 @@
-// Package limiter limits the number of concurrent calls to the local upstream and queues the others by rank.
+// Package limiter limits the number of concurrent calls to the local upstream and queues the others by priority class.
 package limiter
 
 import (
@@ -31,11 +31,11 @@
 // Hooks are optional functions that observe the limiter. They are called without the lock held.
 type Hooks struct {
 	// Admitted is called with the time a call waited in the queue.
-	Admitted func(class Class, wait time.Duration)
+	Admitted func(class string, wait time.Duration)
 	// Refused is called with the error that Acquire returns.
-	Refused func(class Class, err error)
+	Refused func(class string, err error)
 	// Ended is called with the service time of a call, for which it held its slot.
-	Ended func(class Class, serviceTime time.Duration, outcome Outcome)
+	Ended func(class string, serviceTime time.Duration, outcome Outcome)
 	// Limited is called with the new limit after an overload lowered it or a cold start reset it.
 	Limited func(limit int)
 }
@@ -113,13 +113,6 @@
 	return l.capacity.maxInflight()
 }
 
-// Classes returns the number of classes that have a queue.
-func (l *Limiter) Classes() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.schedule.queues)
-}
-
 // SetSlots sets the number of slots. Zero means that there is no upstream and refuses the queued calls. A change from
 // zero to more is a cold start: the limit starts low, and an earlier Drain ends. Other changes keep the adapted limit.
 // Repeated calls with the same number have no effect, so every announcement may call SetSlots.
--- a/daemon/limiter/limiter_test.go
+++ b/daemon/limiter/limiter_test.go
@@ -37,14 +37,14 @@
 // acquire admits a call and returns the function that ends it.
 func (f *fixture) acquire() func(limiter.Outcome) {
 	f.Helper()
-	done, err := f.Acquire(background, limiter.NamedClass("normal"))
+	done, err := f.Acquire(background, "normal")
 	f.NoErr(err)
 	return done
 }
 
 // call makes one call of the given duration and returns when it has ended or was refused.
 func (f *fixture) call(ctx context.Context, class string, duration time.Duration) error {
-	done, err := f.Acquire(ctx, limiter.NamedClass(class))
+	done, err := f.Acquire(ctx, class)
 	if err != nil {
 		return err
 	}
@@ -89,13 +89,13 @@
 	f.Equal(f.Load(), load) // the call is not counted
 }
 
-// TestUrgentFirst guards against calls that delay more urgent ones.
-func TestUrgentFirst(t *testing.T) {
+// TestWeights guards against starvation of bulk calls and against bulk calls that delay urgent ones.
+func TestWeights(t *testing.T) {
 	run(t, 1, func(f *fixture) {
 		for range 100 {
 			f.start(background, "urgent", ms)
 		}
-		time.Sleep(time.Second) // idle classes are owed nothing
+		time.Sleep(time.Second) // idle classes collect no credit
 		f.start(background, "normal", ms)
 		for range 101 {
 			<-f.order
@@ -109,7 +109,7 @@
 		for range 105 {
 			counts[<-f.order]++
 		}
-		f.Equal(counts, map[string]int{"urgent": 97, "normal": 4, "bulk": 4}) // 4 calls of each class are owed
+		f.Equal(counts, map[string]int{"urgent": 80, "normal": 20, "bulk": 5}) // shares are 16:4:1
 		time.Sleep(time.Second)
 		f.Equal(len(f.order), 195) // all others ran
 	})
--- a/daemon/limiter/schedule.go
+++ b/daemon/limiter/schedule.go
@@ -1,16 +1,36 @@
 package limiter
 
-import (
-	"slices"
-	"time"
-)
-
-// MaxClasses bounds the number of classes with a queue of their own. Further ranks share the queue of the nearest rank.
-const MaxClasses = 64
+import "time"
+
+// classes lists the priority classes, highest first. Scheduling is self-clocked fair queueing: the class whose next
+// call has the lowest virtual finish time is served first, and each call advances the virtual time of its class by the
+// stride. Of two classes with waiting calls, one with a quarter of the stride gets four times the slots.
+var classes = [...]struct {
+	name   string
+	stride uint64
+}{
+	{"urgent", 1},
+	{"normal", 4},
+	{"bulk", 16},
+	{"late", 1 << 12}, // gets only slots that no other class waits for
+}
+
+// classIndexOf returns the index of a class in classes. Unknown names count as normal.
+func classIndexOf(class string) int {
+	switch class {
+	case "urgent":
+		return 0
+	case "bulk":
+		return 2
+	case "late":
+		return 3
+	}
+	return 1
+}
 
 // waiter is a queued call.
 type waiter struct {
-	queue       *queue
+	classIndex  int
 	latestStart time.Time // zero if none
 	ready       chan struct{}
 	seq         uint64 // set when granted
@@ -21,87 +41,39 @@
 
 // queue holds the waiting calls of one class in order of arrival.
 type queue struct {
-	class      Class
 	head, tail *waiter
 	length     int
-	arrived    rate
-	served     rate
-	floorDebt  float64 // calls that the class is owed by its floor
-	orderDebt  float64 // calls that the class is owed because less urgent ones were served more often
+	start      uint64 // virtual start time of the first waiting call
+	lastFinish uint64 // virtual finish time of the last served call
+	startSet   bool   // start was set for a call that has not been served yet
 }
 
-// schedule decides which waiting call gets the next slot. Calls of running calls go first, by rank. Then follow the classes
-// that are owed calls by their floor, those that are owed calls by the order, and then the others by rank. The queues are sorted
-// by class.
+// schedule holds the queues of all classes.
 type schedule struct {
-	queues []*queue
-	length int
-}
-
-// find returns the index of the queue for a class. It adds the queue if it is missing.
-func (s *schedule) find(class Class, now time.Time) int {
-	i, ok := s.search(class)
-	if ok {
-		return i
-	}
-	if len(s.queues) >= MaxClasses && !s.dropIdle(now) {
-		return s.nearest(class)
-	}
-	i, _ = s.search(class)
-	s.queues = slices.Insert(s.queues, i, &queue{class: class})
-	return i
-}
-
-func (s *schedule) search(class Class) (int, bool) {
-	return slices.BinarySearchFunc(s.queues, class, func(q *queue, c Class) int { return q.class.compare(c) })
-}
-
-// dropIdle removes the queue without waiting calls of which the fewest calls arrived lately, and reports whether there was
-// one.
-func (s *schedule) dropIdle(now time.Time) bool {
-	idle := -1
-	for i, q := range s.queues {
-		if q.length == 0 && (idle < 0 || q.arrived.count(now) < s.queues[idle].arrived.count(now)) {
-			idle = i
-		}
-	}
-	if idle < 0 {
-		return false
-	}
-	s.queues = slices.Delete(s.queues, idle, idle+1)
-	return true
-}
-
-// nearest returns the index of the queue of the same kind whose rank is nearest, or of a neighbour if there is none.
-func (s *schedule) nearest(class Class) int {
-	i, _ := s.search(class)
-	i = min(i, len(s.queues)-1)
-	if q := s.queues[i].class; i > 0 && (q.Nested != class.Nested || q.Late != class.Late) {
-		return i - 1
+	queues      [len(classes)]queue
+	length      int
+	virtualTime uint64
+}
+
+// arrive records that a call of a class requests a slot, whether or not it is then queued. A class without waiting calls
+// starts at the current virtual time. If its last callers were refused or gave up, it keeps a credit of up to one call;
+// otherwise a class whose callers give up before its next turn would starve.
+func (s *schedule) arrive(classIndex int) {
+	q := &s.queues[classIndex]
+	if q.length > 0 {
+		return
 	}
-	return i
-}
-
-// arrive records that a call of the class at index i requests a slot, whether or not it is then queued.
-func (s *schedule) arrive(i int, now time.Time) {
-	q := s.queues[i]
-	if q.class.hasFloor() {
-		q.floorDebt = min(q.floorDebt+s.floor(i, s.commonShare(now)), maxDebt)
-		q.orderDebt = min(q.orderDebt+s.orderShare(i, now), maxDebt)
+	if q.startSet {
+		q.start = max(q.start, s.virtualTime-min(s.virtualTime, classes[classIndex].stride))
+		return
 	}
-	q.arrived.add(now)
-}
-
-// grant records that a call of a queue gets a slot.
-func (q *queue) grant(now time.Time) {
-	q.served.add(now)
-	q.floorDebt = max(q.floorDebt-1, minDebt)
-	q.orderDebt = max(q.orderDebt-1, minDebt)
+	q.start = max(q.lastFinish, s.virtualTime)
+	q.startSet = true
 }
 
 // push queues a call. The caller must have called arrive for its class.
 func (s *schedule) push(w *waiter) {
-	q := w.queue
+	q := &s.queues[w.classIndex]
 	if q.length == 0 {
 		q.head = w
 	} else {
@@ -114,9 +86,10 @@
 	w.queued = true
 }
 
-// remove removes a call from its queue without serving it.
+// remove removes a call from its queue without serving it. The virtual start time of its class does not change, so that
+// callers that give up do not delay those behind them.
 func (s *schedule) remove(w *waiter) {
-	q := w.queue
+	q := &s.queues[w.classIndex]
 	if w.prev == nil {
 		q.head = w.next
 	} else {
@@ -134,75 +107,46 @@
 
 // first returns the call to serve next, or nil.
 func (s *schedule) first() *waiter {
-	var byRank, byOrder *queue
-	for _, q := range s.queues {
-		switch {
-		case q.length == 0:
-		case q.class.Nested && !q.class.Late, owed(q.floorDebt) > 0:
-			return q.head
-		case byOrder == nil && owed(q.orderDebt) > 0:
-			byOrder = q
-		case byRank == nil:
-			byRank = q
+	var best *waiter
+	var lowest uint64
+	for i := range s.queues {
+		q := &s.queues[i]
+		if q.length == 0 {
+			continue
+		}
+		if finish := q.start + classes[i].stride; best == nil || finish < lowest {
+			best, lowest = q.head, finish
 		}
 	}
-	switch {
-	case byOrder != nil:
-		return byOrder.head
-	case byRank != nil:
-		return byRank.head
-	}
-	return nil
+	return best
 }
 
-// serve removes the call that first returned.
-func (s *schedule) serve(w *waiter, now time.Time) {
-	w.queue.grant(now)
+// serve removes the call that first returned and advances the virtual time.
+func (s *schedule) serve(w *waiter) {
+	q := &s.queues[w.classIndex]
+	q.lastFinish = q.start + classes[w.classIndex].stride
+	q.start = q.lastFinish
+	s.virtualTime = q.lastFinish
 	s.remove(w)
-}
-
-// nestedFull reports whether a queue of nested calls has reached the length.
-func (s *schedule) nestedFull(length int) bool {
-	return slices.ContainsFunc(s.queues, func(q *queue) bool { return q.class.Nested && !q.class.Late && q.length >= length })
-}
-
-// isOwed reports whether a new call of the class at index i would be served out of order.
-func (s *schedule) isOwed(i int) bool {
-	q := s.queues[i]
-	return q.class.hasFloor() && q.owed() > q.length
-}
-
-// wait is the estimated wait of a new call.
-type wait struct {
-	ahead int     // calls that are served first, including those of its own class and itself
-	own   int     // calls of its own class among them, including itself
-	busy  float64 // calls per second that are served of more urgent classes, and of others up to their floors
-}
-
-// estimate returns what a new call of the class at index i waits for.
-func (s *schedule) estimate(i int, now time.Time) wait {
-	q := s.queues[i]
-	owed, common := s.isOwed(i), s.commonShare(now)
-	w := wait{own: q.length + 1, ahead: q.length + 1}
-	for j, other := range s.queues {
-		switch {
-		case j == i:
-		case other.class.Nested && !other.class.Late && j < i:
-			w.ahead += other.length
-		case owed && j < i, !owed && j > i:
-			if other.class.hasFloor() {
-				w.ahead += min(other.length, other.owed())
-			}
-		case j < i:
-			w.ahead += other.length
+	q.startSet = q.length > 0
+}
+
+// position returns how many calls would be served up to and including a new one of the given class if no others arrived.
+// The caller must have called arrive for the class.
+func (s *schedule) position(classIndex int) int {
+	own := &s.queues[classIndex]
+	total := own.length + 1
+	finish := own.start + uint64(total)*classes[classIndex].stride
+	for i := range s.queues {
+		q := &s.queues[i]
+		if i == classIndex || q.length == 0 || q.start >= finish {
+			continue
 		}
-		switch {
-		case owed || q.class.Late || j == i:
-		case j < i:
-			w.busy += other.served.perSecond(now)
-		case !q.class.Nested:
-			w.busy += min(other.served.perSecond(now), s.floor(j, common)*other.arrived.perSecond(now))
+		span := finish - q.start
+		if i > classIndex {
+			span-- // at equal finish times the class with the higher priority is served first
 		}
+		total += min(q.length, int(span/classes[i].stride))
 	}
-	return w
+	return total
 }
--- a/daemon/runner/adapters.go
+++ b/daemon/runner/adapters.go
@@ -68,9 +68,9 @@
 	}, nil
 }
 
-// acquireForServiceCall acquires a slot for a service call, which a running call makes if nested is true, and passes the outcome of the call to the limiter.
-func (r *Runner) acquireForServiceCall(ctx context.Context, class string, nested bool) (func(forwarder.Outcome), error) {
-	done, err := r.limiter.Acquire(ctx, limiter.Class{Rank: limiter.NamedClass(class).Rank, Nested: nested})
+// acquireForServiceCall acquires a slot for a service call and passes the outcome of the call to the limiter.
+func (r *Runner) acquireForServiceCall(ctx context.Context, class string) (func(forwarder.Outcome), error) {
+	done, err := r.limiter.Acquire(ctx, class)
 	if err != nil {
 		return nil, err
 	}
@@ -135,7 +135,7 @@
 
 // acquireForRoutedCall acquires a slot for a routed call and passes the outcome of the call to the limiter. If the call
 // has to wait, it must start by latest.
-func (r *Runner) acquireForRoutedCall(ctx context.Context, class limiter.Class, latest time.Time) (func(deliverer.SlotOutcome), error) {
+func (r *Runner) acquireForRoutedCall(ctx context.Context, class string, latest time.Time) (func(deliverer.SlotOutcome), error) {
 	done, err := r.limiter.AcquireBefore(ctx, class, latest)
 	if err != nil {
 		return nil, err
