Do not bring an expired member back after a freeze

Cause: a member that froze while it sent a suspicion sends it when it resumes. If the suspect has expired elsewhere meanwhile, the receivers take it for a new member and spread it. The rest of the step in which the process froze, and the work of an exchange that had just ended, also used the old table.

Change: a suspicion in a datagram does not make a member known. Nothing is sent in the rest of a step that took longer than probeInterval, and the end of an exchange handles a stall first.

--- a/core/gossiper/probe.go
+++ b/core/gossiper/probe.go
@@ -36,6 +36,7 @@
 // receive handles one datagram.
 func (g *Gossiper) receive(d datagram) {
 	now := time.Now()
+	d.msg.Members = slices.DeleteFunc(d.msg.Members, g.unknownSuspect)
 	res := g.merge(d.msg, now)
 	defer g.requestRefutation(res.reportedDead)
 	switch d.msg.Kind {
@@ -55,6 +56,13 @@
 	}
 }
 
+// unknownSuspect reports whether an entry from a datagram is a suspicion of a member that is not known here. The member may
+// have expired here while the sender was frozen in the middle of sending. If it is alive, its refutation makes it known.
+func (g *Gossiper) unknownSuspect(m wire.Member) bool {
+	_, known := g.table.byName[m.Name]
+	return !known && m.State == wire.Suspect
+}
+
 func (g *Gossiper) handleAck(d datagram) {
 	if r, ok := g.relayedPings[d.msg.Seq]; ok {
 		delete(g.relayedPings, d.msg.Seq)
--- a/core/gossiper/run.go
+++ b/core/gossiper/run.go
@@ -44,6 +44,7 @@
 		case <-g.wake:
 			g.handleStall(time.Now())
 		case <-exchangeDone:
+			g.handleStall(time.Now())
 			g.exchangeInFlight = false
 		case <-ticker.C:
 			g.onTick(ctx, time.Now(), exchangeDone)
@@ -246,7 +247,13 @@
 //
 // Targets in the own failure domain get updates from the queue, all others from crossDomain. A change in another failure
 // domain arrives a few times and is then spread by the queues of this domain.
+//
+// It sends nothing in the rest of a step in which the process was frozen: the table may hold members that have expired
+// elsewhere since, and handleStall comes first.
 func (g *Gossiper) sendTo(to target, msg wire.Gossip, first ...*entry) {
+	if time.Since(g.lastTick) >= probeInterval {
+		return
+	}
 	if msg.From == "" {
 		msg.From = g.self.Name
 	}
