Split the holder from the account of memory

Cause: accountant.go held two types in 346 lines, "overdrawn" was a command named like a query, and the millisecond in the score of a victim had no reason. Change: Holder is in holder.go, overdrawn is shedOverdraft, minHeldTime has a name and a reason, and the comments on fits, markShed and the guarded fields say what they mean.

--- a/core/accountant/accountant.go
+++ b/core/accountant/accountant.go
@@ -3,7 +3,6 @@
 package accountant
 
 import (
-	"context"
 	"errors"
 	"math"
 	"sync"
@@ -24,6 +23,8 @@
 	smallBytes = 64 << 10
 	// maxWait is how long a holder waits for the memory of others that were shed.
 	maxWait = time.Second
+	// minHeldTime is added to the time for which a holder has occupied memory, so that new holders differ by their size.
+	minHeldTime = time.Millisecond
 	// logInterval is the shortest time between two log lines about holders that were shed.
 	logInterval = time.Second
 )
@@ -49,7 +50,7 @@
 	holders  map[*Holder]struct{}
 	released chan struct{} // closed and replaced when memory is released
 	lastLog  time.Time
-	unlogged int
+	unlogged int // holders shed since lastLog without a log line
 }
 
 // Option configures an Account.
@@ -113,15 +114,16 @@
 	if bytes < 0 {
 		a.notify()
 	}
-	victims := a.overdrawn()
+	victims := a.shedOverdraft()
 	a.mu.Unlock()
 	for _, victim := range victims {
 		victim.onShed()
 	}
 }
 
-// overdrawn marks holders as shed until those that remain fit into the account, and returns them. a.mu must be held.
-func (a *Account) overdrawn() []*Holder {
+// shedOverdraft marks holders as shed until those that remain fit into the account, and returns the marked ones, whose onShed
+// the caller must call without the lock. a.mu must be held.
+func (a *Account) shedOverdraft() []*Holder {
 	if a.used <= a.size {
 		return nil
 	}
@@ -143,7 +145,8 @@
 	a.released = make(chan struct{})
 }
 
-// fits reports whether a holder can grow, apart from memory that others are about to release. a.mu must be held.
+// fits reports whether a holder can grow by bytes. The memory that shed holders are about to release counts as free: releasing
+// in all, and releasingLarge of it beyond smallBytes each. a.mu must be held.
 func (a *Account) fits(h *Holder, bytes, releasing, releasingLarge int64) bool {
 	largeGrowth := largePart(h.bytes+bytes) - largePart(h.bytes)
 	return a.used-releasing+bytes <= a.size && (largeGrowth == 0 || a.large-releasingLarge+largeGrowth <= a.largeSize)
@@ -177,7 +180,7 @@
 		if h.isShed || size == 0 {
 			continue
 		}
-		rank, score := h.rank(size), float64(size)*(now.Sub(h.since)+time.Millisecond).Seconds()
+		rank, score := h.rank(size), float64(size)*(now.Sub(h.since)+minHeldTime).Seconds()
 		if victim == nil || rank > victimRank || rank == victimRank && score > victimScore {
 			victim, victimRank, victimScore = h, rank, score
 		}
@@ -185,7 +188,7 @@
 	return victim
 }
 
-// markShed marks a holder as shed and logs it. a.mu must be held.
+// markShed marks a holder, unless it is nil, as shed, and logs at most one in logInterval. a.mu must be held.
 func (a *Account) markShed(h *Holder) {
 	if h == nil {
 		return
@@ -202,145 +205,3 @@
 		"held", now.Sub(h.since).Round(time.Millisecond).String(), "running", h.running, "used", a.used, "size", a.size, "others", a.unlogged)
 	a.lastLog, a.unlogged = now, 0
 }
-
-// Holder is a caller that occupies memory of an Account.
-type Holder struct {
-	account *Account
-	caller  string
-	onShed  func()
-	since   time.Time
-	shed    chan struct{} // closed when the holder is shed
-
-	bytes   int64 // the remaining fields are guarded by account.mu
-	running bool
-	isShed  bool
-	closed  bool
-}
-
-// largePart returns the part of a size that exceeds smallBytes.
-func largePart(bytes int64) int64 {
-	return max(bytes-smallBytes, 0)
-}
-
-// rank orders holders by how soon they are shed; higher ranks go first. The account's mu must be held.
-func (h *Holder) rank(size int64) int {
-	switch {
-	case size <= smallBytes:
-		return 0
-	case h.running:
-		return 1
-	}
-	return 2
-}
-
-// add changes the size of the holder. The account's mu must be held.
-func (h *Holder) add(bytes int64) {
-	h.account.used += bytes
-	h.account.large += largePart(h.bytes+bytes) - largePart(h.bytes)
-	h.bytes += bytes
-	if bytes < 0 {
-		h.account.notify()
-	}
-}
-
-// Grow occupies more memory. If the account is full, it sheds holders and waits until they have released their memory.
-// It returns ErrShed if this holder is or was shed itself, or if the memory is not released in time.
-func (h *Holder) Grow(ctx context.Context, bytes int64) error {
-	var timeout <-chan time.Time
-	for {
-		wait, err := h.tryGrow(bytes)
-		if wait == nil || err != nil {
-			return err
-		}
-		if timeout == nil {
-			timer := time.NewTimer(maxWait)
-			defer timer.Stop()
-			timeout = timer.C
-		}
-		select {
-		case <-wait:
-		case <-h.shed:
-			return ErrShed
-		case <-timeout:
-			return ErrShed
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// tryGrow occupies memory if there is room. Otherwise it sheds a holder if necessary, and returns a channel that is closed
-// when memory is released.
-func (h *Holder) tryGrow(bytes int64) (wait <-chan struct{}, err error) {
-	a := h.account
-	a.mu.Lock()
-	switch {
-	case h.isShed:
-		a.mu.Unlock()
-		return nil, ErrShed
-	case largePart(h.bytes+bytes) > a.largeSize:
-		a.mu.Unlock()
-		return nil, ErrTooLarge
-	case a.fits(h, bytes, 0, 0):
-		h.add(bytes)
-		a.mu.Unlock()
-		return nil, nil
-	}
-	wait = a.released
-	var victim *Holder
-	if releasing, releasingLarge := a.releasing(); !a.fits(h, bytes, releasing, releasingLarge) {
-		victim = a.victim(h, bytes)
-		a.markShed(victim)
-	}
-	a.mu.Unlock()
-	if victim == h {
-		return nil, ErrShed
-	}
-	if victim != nil {
-		victim.onShed()
-	}
-	return wait, nil
-}
-
-// Replace sets the memory that the holder occupies without waiting. If the account is then overdrawn, it sheds holders,
-// which may include this one.
-func (h *Holder) Replace(bytes int64) {
-	a := h.account
-	a.mu.Lock()
-	var victims []*Holder
-	if !h.closed {
-		h.add(bytes - h.bytes)
-		victims = a.overdrawn()
-	}
-	a.mu.Unlock()
-	for _, victim := range victims {
-		victim.onShed()
-	}
-}
-
-// SetRunning records whether the call of the holder may be running, so that it can no longer be refused as not run.
-func (h *Holder) SetRunning(running bool) {
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.running = running
-}
-
-// IsShed reports whether the holder has to give up its memory.
-func (h *Holder) IsShed() bool {
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	return h.isShed
-}
-
-// Close releases the memory of the holder. It may be called more than once.
-func (h *Holder) Close() {
-	a := h.account
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if h.closed {
-		return
-	}
-	h.closed = true
-	h.add(-h.bytes)
-	delete(a.holders, h)
-}
