--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -48,7 +48,7 @@
 	callerService func() string
 	startCall     func(id, service string) (budgeter.Kind, error)
 	authorizer    *authorizer.Authorizer
-	takeToken     func(ctx context.Context, tenant string, limit spender.Limit) (func(used bool), error) // nil without quotas
+	takeToken     spender.TakeFunc // nil without quotas
 	peers         *courier.Client
 	names         courier.HeaderNames
 	log           hclog.Logger
@@ -122,7 +122,7 @@
 
 // WithQuota sets the function that takes a token for a call of a tenant with a limit. The function that it returns takes whether
 // the call was sent to an upstream. Without quotas it is nil.
-func WithQuota(takeToken func(ctx context.Context, tenant string, limit spender.Limit) (func(used bool), error)) Option {
+func WithQuota(takeToken spender.TakeFunc) Option {
 	return func(d *Dispatcher) { d.takeToken = takeToken }
 }
 
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -99,8 +99,8 @@
 	account  *accountant.Account
 
 	authorizer   *authorizer.Authorizer
-	tenantHeader string                                                                                 // name of the header that tells the upstream the tenant
-	takeToken    func(ctx context.Context, tenant string, limit spender.Limit) (func(used bool), error) // nil without quotas
+	tenantHeader string           // name of the header that tells the upstream the tenant
+	takeToken    spender.TakeFunc // nil without quotas
 
 	peerTransport   *http.Transport
 	streamTransport *http.Transport
@@ -178,7 +178,7 @@
 
 // WithQuota sets the function that takes a token for an attempt of a tenant with a limit. The function that it returns takes
 // whether the attempt may have reached an upstream. Without quotas it is nil.
-func WithQuota(takeToken func(ctx context.Context, tenant string, limit spender.Limit) (func(used bool), error)) Option {
+func WithQuota(takeToken spender.TakeFunc) Option {
 	return func(f *Forwarder) { f.takeToken = takeToken }
 }
 
--- a/daemon/runner/quota.go
+++ b/daemon/runner/quota.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"context"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -34,7 +33,7 @@
 }
 
 // takeToken returns the function that takes a token for a call of a tenant, or nil without quotas.
-func (r *Runner) takeToken() func(ctx context.Context, tenant string, limit spender.Limit) (func(used bool), error) {
+func (r *Runner) takeToken() spender.TakeFunc {
 	if r.spender == nil {
 		return nil
 	}
--- a/daemon/spender/errors.go
+++ b/daemon/spender/errors.go
@@ -8,7 +8,9 @@
 
 // Errors of a Spender. The call must not be sent.
 var (
-	ErrOverLimit   = errors.New("tenant is over its limit")
+	// ErrOverLimit reports that a controller has refused tokens, since the tenant has used up its limit.
+	ErrOverLimit = errors.New("tenant is over its limit")
+	// ErrUnavailable reports that no controller has answered in time, or that none allots tokens.
 	ErrUnavailable = errors.New("no controller allots tokens")
 )
 
--- a/daemon/spender/ledger.go
+++ b/daemon/spender/ledger.go
@@ -16,8 +16,8 @@
 	answerTime = 250 * time.Millisecond
 	// maxTries is the number of controllers that are asked for the same calls.
 	maxTries = 3
-	// silentTime is how long a controller is passed over that has not answered or does not allot tokens.
-	silentTime = time.Second
+	// skipTime is how long a controller that has not answered or does not allot tokens is skipped.
+	skipTime = time.Second
 	// minPruneSize is the smallest number of tenants or asks at which the idle ones are removed.
 	minPruneSize = 64
 )
@@ -29,16 +29,16 @@
 	batch       string
 	bound       func() Bound
 	controllers func() []netip.AddrPort
-	count       func(tenant string, outcome Outcome, err error)
-
-	tenants   map[string]*tenant
-	pruneSize int
-	asks      map[uint64]*ask
-	lastSeq   uint64
-	rounds    []*tenant                        // tenants with a round in progress
-	silent    map[netip.AddrPort]time.Duration // until when controllers are passed over
-	voters    int                              // as stated by the last allotment
-	outgoing  []Datagram
+	count       func(tenant string, outcome Outcome, err error) // counts a settled call
+
+	tenants      map[string]*tenant
+	pruneSize    int
+	asks         map[uint64]*ask // without an answer, by sequence number
+	lastSeq      uint64
+	rounds       []*tenant                        // tenants with a round in progress
+	skippedUntil map[netip.AddrPort]time.Duration // by controller
+	voters       int                              // as stated by the last allotment
+	outgoing     []Datagram
 }
 
 // Datagram is a message to a controller.
@@ -60,29 +60,29 @@
 
 // Outcomes of calls.
 const (
-	Admitted Outcome = iota
-	Refused
-	Unavailable
+	Admitted    Outcome = iota // the call has a token
+	Refused                    // the tenant is over its limit
+	Unavailable                // no controller has allotted or refused tokens
 )
 
-// NewLedger returns a ledger for tenants of a batch. Controllers returns the controllers in the order in which they are asked.
-// The numbers of asks begin after seq, which must differ between runs of the process.
+// NewLedger returns a ledger for the tenants of a batch. The function controllers returns the controllers in the order in which
+// they are asked. The sequence numbers of asks begin after seq, which must differ between runs of the process.
 func NewLedger(batch string, bound func() Bound, controllers func() []netip.AddrPort, seq uint64) *Ledger {
 	return &Ledger{
 		batch: batch, bound: bound, controllers: controllers, count: func(string, Outcome, error) {},
 		tenants: map[string]*tenant{}, pruneSize: minPruneSize, asks: map[uint64]*ask{}, lastSeq: seq,
-		silent: map[netip.AddrPort]time.Duration{}, voters: 1,
+		skippedUntil: map[netip.AddrPort]time.Duration{}, voters: 1,
 	}
 }
 
-// Take takes a token for a call. If the call has to wait for one, settled is called later and the returned request is not
-// settled yet. The call must have been received before now.
+// Take takes a token for a call. If the call has to wait for one, the returned request is not settled yet. The function settled
+// is called when the request is settled, which may be before Take returns. The call must have been received before now.
 func (l *Ledger) Take(now time.Duration, name string, limit Limit, settled func(*Request)) *Request {
 	t := l.tenant(now, name)
 	t.setLimit(limit)
 	t.demand.add(now)
 	r := &Request{tenant: t, settled: settled}
-	if expiry, ok := t.pocket.take(now); ok {
+	if expiry, ok := t.tokens.take(now); ok {
 		l.admit(r, expiry)
 		return r
 	}
@@ -99,7 +99,7 @@
 		return
 	}
 	r.released = true
-	r.tenant.pocket.add(1, r.expiry)
+	r.tenant.tokens.add(1, r.expiry)
 	l.serve(now, r.tenant)
 }
 
@@ -126,7 +126,7 @@
 		l.decline(now, asked)
 		return
 	}
-	delete(l.silent, from)
+	delete(l.skippedUntil, from)
 	l.voters = msg.Voters
 	for _, item := range msg.Items {
 		if item.Tenant == asked.tenant.name {
@@ -141,7 +141,7 @@
 // allotted.
 func (l *Ledger) credit(now time.Duration, asked *ask, item wire.QuotaItem) {
 	t := asked.tenant
-	t.pocket.add(min(item.Count, asked.tokens), asked.sent+l.bound().Validity(t.limit, l.voters))
+	t.tokens.add(min(item.Count, asked.tokens), asked.sent+l.bound().Validity(t.limit, l.voters))
 	switch {
 	case item.Wait > 0:
 		t.blocked[asked.to] = now + item.Wait
@@ -158,7 +158,7 @@
 		case now >= t.round.started+answerTime:
 			l.endRound(now, t)
 		case now >= t.round.nextTry:
-			l.silent[t.round.lastAsked()] = now + silentTime
+			l.skippedUntil[t.round.lastAsked()] = now + skipTime
 			l.continueRound(now, t)
 		}
 	}
--- a/daemon/spender/ledger_test.go
+++ b/daemon/spender/ledger_test.go
@@ -255,7 +255,7 @@
 	f.assertAdmitted(r)
 	f.take()
 	f.assertAsk(1, 1, 0)
-	f.now += silentTime
+	f.now += skipTime
 	f.ledger.Expire(f.now)
 	f.take()
 	f.assertAsk(0, 1, 0)
--- a/daemon/spender/round.go
+++ b/daemon/spender/round.go
@@ -37,39 +37,40 @@
 }
 
 // nextController returns the first controller that was not asked in this round, allots tokens as far as is known, and has not
-// refused tokens of the tenant lately. If all are silent, the first one is asked nevertheless.
+// refused tokens of the tenant lately. If all are skipped, the first one is asked nevertheless.
 func (l *Ledger) nextController(now time.Duration, t *tenant) (netip.AddrPort, bool) {
 	if t.round.tries >= maxTries {
 		return netip.AddrPort{}, false
 	}
-	var silent netip.AddrPort
+	var skipped netip.AddrPort
 	refused := false
 	for _, controller := range l.controllers() {
 		switch {
 		case t.blocked[controller] > now:
 			refused = true
 		case slices.Contains(t.round.asked, controller):
-		case l.silent[controller] > now:
-			if !silent.IsValid() {
-				silent = controller
+		case l.skippedUntil[controller] > now:
+			if !skipped.IsValid() {
+				skipped = controller
 			}
 		default:
 			return controller, true
 		}
 	}
-	return silent, silent.IsValid() && !refused && len(t.round.asked) == 0
+	return skipped, skipped.IsValid() && !refused && len(t.round.asked) == 0
 }
 
-// decline passes over a controller that does not allot tokens, for example since it is no voter.
+// decline skips a controller that does not allot tokens, for example since it is no voter.
 func (l *Ledger) decline(now time.Duration, asked *ask) {
-	l.silent[asked.to] = now + silentTime
+	l.skippedUntil[asked.to] = now + skipTime
 	if round := asked.tenant.round; round != nil && asked.sent >= round.started {
 		round.tries--
 	}
 	l.continueRound(now, asked.tenant)
 }
 
-// ask asks a controller for tokens for the calls that wait, and for those that are expected within half of the validity.
+// ask asks a controller for tokens for the calls that wait, and for those that are expected within half of the validity of
+// tokens.
 func (l *Ledger) ask(now time.Duration, t *tenant, controller netip.AddrPort) {
 	validity := l.bound().Validity(t.limit, l.voters)
 	count := min(len(t.waiting), carrier.MaxCount)
@@ -101,13 +102,13 @@
 // awaitedUntil returns until when the calls of a round wait for answers to asks that were sent. Once a controller has refused
 // tokens, they do not wait for one that is slow to answer.
 func (l *Ledger) awaitedUntil(now time.Duration, t *tenant) (until time.Duration) {
-	patience := answerTime
+	timeout := answerTime
 	if _, refused := t.wait(now); refused {
-		patience = tryTime
+		timeout = tryTime
 	}
 	for _, a := range l.asks {
 		if a.tenant == t && a.sent >= t.round.started {
-			until = max(until, a.sent+patience)
+			until = max(until, a.sent+timeout)
 		}
 	}
 	return min(until, t.round.started+answerTime)
@@ -116,7 +117,7 @@
 // serve gives the tokens of a tenant to the calls that wait.
 func (l *Ledger) serve(now time.Duration, t *tenant) {
 	for len(t.waiting) > 0 {
-		expiry, ok := t.pocket.take(now)
+		expiry, ok := t.tokens.take(now)
 		if !ok {
 			return
 		}
--- a/daemon/spender/spender.go
+++ b/daemon/spender/spender.go
@@ -65,6 +65,9 @@
 	return s
 }
 
+// TakeFunc is the type of Spender.Take.
+type TakeFunc func(ctx context.Context, tenant string, limit Limit) (release func(used bool), err error)
+
 // Take takes a token for a call of a tenant, which must have been received before, and waits for one if necessary. The caller
 // must call release when the call has ended, with false if it was not sent to any upstream. Errors are an OverLimitError,
 // ErrUnavailable, or that of ctx.
--- a/daemon/spender/spender_test.go
+++ b/daemon/spender/spender_test.go
@@ -85,7 +85,7 @@
 // BenchmarkTake measures a call that finds a token.
 func BenchmarkTake(b *testing.B) {
 	s := newTestSpender(make(chan wire.Quota, 10))
-	s.ledger.tenant(0, "t").pocket.add(1<<40, time.Hour)
+	s.ledger.tenant(0, "t").tokens.add(1<<40, time.Hour)
 	b.ReportAllocs()
 	for b.Loop() {
 		release, err := s.Take(b.Context(), "t", testLimit)
--- a/daemon/spender/tenant.go
+++ b/daemon/spender/tenant.go
@@ -13,11 +13,11 @@
 type tenant struct {
 	name    string
 	limit   Limit
-	pocket  pocket
+	tokens  tokenPool
 	demand  demand
-	waiting []*Request // calls that wait for a token, the first one first
-	round   *round     // nil while no tokens are asked for
-	blocked map[netip.AddrPort]time.Duration
+	waiting []*Request                       // calls that wait for a token, the first one first
+	round   *round                           // nil while no tokens are asked for
+	blocked map[netip.AddrPort]time.Duration // until when a controller that has refused tokens is not asked again
 }
 
 // round is the attempt to get tokens for the calls that wait.
@@ -39,9 +39,9 @@
 	Err     error // valid once Settled
 
 	tenant   *tenant
-	settled  func(*Request)
-	expiry   time.Duration
-	released bool
+	settled  func(*Request) // called when the request is settled; may be nil
+	expiry   time.Duration  // of the token
+	released bool           // the token was returned
 }
 
 // setLimit sets the limit of the tenant, unless a newer one is known. Waits that follow from an older limit do not count any
