Name the body cost and comment the fields of the gatekeeper and carrier

Cause: the default cost of a body byte was a bare 2, the field "close" read like a method, and fields, limits of datagrams and begin, end and remove had no comments. Change: defaultBodyCost, closeOnce, comments with units. Result: no change of behavior; the tests of gatekeeper and carrier pass.

--- a/core/carrier/datagram.go
+++ b/core/carrier/datagram.go
@@ -27,10 +27,10 @@
 	// MaxWait is the longest wait that an allotment may state.
 	MaxWait = time.Second
 
-	checksumSize   = 4
-	maxBatchLength = 64
-	maxItems       = 64
-	maxVoters      = 1 << 10
+	checksumSize   = 4       // bytes of the CRC-32C before the message
+	maxBatchLength = 64      // bytes of the name of a batch
+	maxItems       = 64      // items of a datagram
+	maxVoters      = 1 << 10 // voters that a datagram may state
 )
 
 // ErrInvalid reports a datagram that cannot be encoded or decoded.
@@ -86,7 +86,10 @@
 	return nil
 }
 
+// validItem reports whether the values of an item are in range.
 func validItem(item wire.QuotaItem) bool {
-	return len(item.Tenant) <= compiler.MaxTenantName && item.Count >= 0 && item.Count <= MaxCount && item.Extra >= 0 && item.Extra <= MaxCount &&
+	return len(item.Tenant) <= compiler.MaxTenantName &&
+		item.Count >= 0 && item.Count <= MaxCount &&
+		item.Extra >= 0 && item.Extra <= MaxCount &&
 		item.Wait >= 0 && item.Wait <= MaxWait
 }
--- a/core/gatekeeper/body.go
+++ b/core/gatekeeper/body.go
@@ -45,9 +45,9 @@
 	ctx      context.Context
 	conn     *conn // nil if the connection does not come from a gate
 	holder   *accountant.Holder
-	cost     int64
-	reserved int64
-	reading  bool
+	cost     int64 // memory that a byte of the body takes
+	reserved int64 // bytes for which memory is reserved and which have not been read
+	reading  bool  // counted by conn.addBody
 }
 
 // Read reads from the body after it has reserved memory.
@@ -78,7 +78,7 @@
 	return err
 }
 
-// setReading records that the connection may be closed because its request is still arriving.
+// setReading records whether the body is still arriving, so that the connection may be closed for a new one.
 func (b *body) setReading(reading bool) {
 	if b.conn == nil || b.reading == reading {
 		return
--- a/core/gatekeeper/conn.go
+++ b/core/gatekeeper/conn.go
@@ -37,8 +37,8 @@
 // conn is a connection of a gate.
 type conn struct {
 	net.Conn
-	gate  *Gate
-	close sync.Once
+	gate      *Gate
+	closeOnce sync.Once // guards the release of the slot and the memory
 
 	mu       sync.Mutex
 	idle     bool               // no byte of a request has arrived
@@ -87,7 +87,7 @@
 // Close closes the connection and makes room for another one.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
-	c.close.Do(func() {
+	c.closeOnce.Do(func() {
 		c.mu.Lock()
 		c.closed = true
 		c.releaseHeader()
@@ -126,6 +126,7 @@
 	}
 }
 
+// begin records that a handler gets a request, whose header section is complete.
 func (c *conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,6 +136,7 @@
 	c.releaseHeader()
 }
 
+// end records that the handler of a request has returned.
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -142,15 +144,15 @@
 	c.since = time.Now()
 }
 
-// addBody counts the requests whose body is being read.
+// addBody changes the number of requests whose body is being read.
 func (c *conn) addBody(change int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bodies += change
 }
 
-// evictable returns since when the connection has been idle or has been receiving requests that were not complete, or false
-// if a request is being handled.
+// evictable reports whether the connection may be closed for a new one, and since when it has been in that state: it is idle,
+// or none of its requests has arrived completely.
 func (c *conn) evictable() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/gatekeeper/gatekeeper.go
+++ b/core/gatekeeper/gatekeeper.go
@@ -29,10 +29,15 @@
 	// socketBufferBytes is the size of the buffers of the kernel for a connection, in each direction.
 	socketBufferBytes = 32 << 10
 
+	// defaultBodyCost is the memory that a byte of a request body takes unless WithBodyCost states it.
+	defaultBodyCost = 2
+
+	// headerTimeout bounds reading the header section of a request.
 	headerTimeout = 5 * time.Second
 	// requestTimeout bounds reading a request and writing its response. It allows the largest configuration on a slow link.
 	requestTimeout = 2 * time.Minute
-	idleTimeout    = 2 * time.Minute
+	// idleTimeout is how long a connection may wait for its next request.
+	idleTimeout = 2 * time.Minute
 	// logInterval is the shortest time between two log lines for the same reason.
 	logInterval = time.Second
 )
@@ -41,14 +46,14 @@
 type Gate struct {
 	name     string
 	account  *accountant.Account
-	bodyCost int64
+	bodyCost int64 // memory that a byte of a request body takes
 	log      hclog.Logger
 	slots    chan struct{} // one element for each open connection
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	lastLog  map[string]time.Time // by reason
-	unlogged map[string]int
+	unlogged map[string]int       // connections closed since the last log line, by reason
 }
 
 // Reasons for which connections are closed.
@@ -84,7 +89,7 @@
 // New returns a gate of the endpoint with the given name.
 func New(name string, opts ...Option) *Gate {
 	g := &Gate{
-		name: name, account: accountant.New(), bodyCost: 2, log: hclog.NewNullLogger(),
+		name: name, account: accountant.New(), bodyCost: defaultBodyCost, log: hclog.NewNullLogger(),
 		slots: make(chan struct{}, DefaultConnections), conns: map[*conn]struct{}{},
 		lastLog: map[string]time.Time{}, unlogged: map[string]int{},
 	}
@@ -94,8 +99,8 @@
 	return g
 }
 
-// Listen listens on an address. The listener accepts no more connections than allowed: it closes one that is idle or whose
-// request is still arriving, or else the new one.
+// Listen listens on an address. If there are too many connections, the listener closes one that is idle or whose request is
+// still arriving, or the new one if there is none.
 func (g *Gate) Listen(addr netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
@@ -154,7 +159,8 @@
 	return true
 }
 
-// evict closes the connection that has been idle, or whose request has been arriving, for the longest time.
+// evict closes the connection that has been idle, or whose request has been arriving, for the longest time. It reports
+// false if there is none.
 func (g *Gate) evict() bool {
 	g.mu.Lock()
 	var victim *conn
@@ -203,6 +209,7 @@
 	return c
 }
 
+// remove releases the memory and the slot of a closed connection.
 func (g *Gate) remove(c *conn) {
 	g.mu.Lock()
 	delete(g.conns, c)
