Split serveEgress and name the credentials of a call

Change: delivery.serve authorizes, sends and answers a call that was read; keyed is credentials; comments on the refusals, the grant and the token. Result: no change of behavior; the tests of authorizer, dispatcher and forwarder pass.

--- a/daemon/authorizer/authorizer.go
+++ b/daemon/authorizer/authorizer.go
@@ -32,6 +32,7 @@
 	ErrNoProof = errors.New("the configuration is not proven to be current")
 )
 
+// refusals counts the refused calls by reason.
 var refusals = map[error]*metrics.Counter{
 	ErrNoKey:      metrics.NewCounter(`bluebell_calls_unauthorized_total{reason="no key"}`),
 	ErrUnknownKey: metrics.NewCounter(`bluebell_calls_unauthorized_total{reason="unknown key"}`),
@@ -74,18 +75,18 @@
 	return a
 }
 
-// Call is what the authorizer needs to know of a call.
+// Call is the part of a call that decides its authorization.
 type Call struct {
 	Key string // empty if the call has none
-	// IsPublic reports whether a call needs no key in a configuration.
+	// IsPublic reports whether the call needs no key in the given configuration.
 	IsPublic func(*compiler.Snapshot) bool
 }
 
 // Grant is the result of a successful authorization. It holds for one configuration.
 type Grant struct {
-	Tenant   wire.Tenant // without a name if the call belongs to no tenant
-	DropKey  bool        // the key must not be passed on
-	snapshot *compiler.Snapshot
+	Tenant   wire.Tenant        // without a name if the call belongs to no tenant
+	DropKey  bool               // the key must not be passed on
+	snapshot *compiler.Snapshot // the configuration
 }
 
 // ParseKey returns the key in the values of HeaderKey, or an empty text if there is not exactly one.
@@ -166,6 +167,7 @@
 	return snapshot != nil && snapshot.NeedsKey()
 }
 
+// refuse counts a refusal and returns its reason.
 func refuse(reason error) error {
 	refusals[reason].Inc()
 	return reason
--- a/daemon/dispatcher/authorize.go
+++ b/daemon/dispatcher/authorize.go
@@ -17,18 +17,18 @@
 
 // authorize decides which tenant the call belongs to, and returns an error if the call must not be sent.
 func (c *call) authorize() error {
-	c.keyed = authorizer.Call{
+	c.credentials = authorizer.Call{
 		Key:      authorizer.ParseKey(c.request.Header.Values(authorizer.HeaderKey)),
 		IsPublic: c.isPublic,
 	}
-	grant, err := c.d.authorizer.Authorize(c.keyed)
+	grant, err := c.d.authorizer.Authorize(c.credentials)
 	c.applyGrant(grant)
 	return err
 }
 
 // renewGrant authorizes the call again before it is sent to a member, since it may have waited.
 func (c *call) renewGrant() error {
-	grant, err := c.d.authorizer.Renew(c.keyed, c.grant)
+	grant, err := c.d.authorizer.Renew(c.credentials, c.grant)
 	c.applyGrant(grant)
 	return err
 }
--- a/daemon/dispatcher/call.go
+++ b/daemon/dispatcher/call.go
@@ -27,10 +27,10 @@
 	callerTimeout time.Duration // how long the caller waits from started on
 	firstKind     budgeter.Kind // kind of the first arrival of the call
 	priorWait     time.Duration // how long the caller has probably waited before this call, in earlier attempts
-	keyed         authorizer.Call
+	credentials   authorizer.Call
 	grant         authorizer.Grant // last grant; its tenant is that of the call
 
-	releaseToken func(used bool) // set while the call has a token that was not used
+	releaseToken func(used bool) // ends the token of the call; nil while it has none, or without a limit
 	overQuota    bool            // the call was refused since its tenant is over its limit, or no controller allots tokens
 
 	noRetryReason string          // why the call was not retried, or empty
--- a/daemon/forwarder/authorize.go
+++ b/daemon/forwarder/authorize.go
@@ -15,12 +15,12 @@
 // authorize decides which tenant a call belongs to, and returns the response that refuses it if it must not be sent. A service
 // that a public route leads to needs no key, since its upstreams also get calls without one through the route.
 func (d *delivery) authorize() *answer {
-	d.keyed = authorizer.Call{
+	d.credentials = authorizer.Call{
 		Key:      authorizer.ParseKey(d.request.Header.Values(authorizer.HeaderKey)),
 		IsPublic: func(s *compiler.Snapshot) bool { return s.IsPublicService(d.call.service.Name) },
 	}
 	var err error
-	if d.grant, err = d.f.authorizer.Authorize(d.keyed); err != nil {
+	if d.grant, err = d.f.authorizer.Authorize(d.credentials); err != nil {
 		return unauthorized(err)
 	}
 	d.body.hideTrailers(d.f.hiddenTrailers(d.grant))
@@ -29,7 +29,7 @@
 
 // renewGrant authorizes the call again before it is sent to a member, and returns the tenant of the call.
 func (d *delivery) renewGrant() (authorizer.Grant, *answer) {
-	grant, err := d.f.authorizer.Renew(d.keyed, d.grant)
+	grant, err := d.f.authorizer.Renew(d.credentials, d.grant)
 	if err != nil {
 		return grant, unauthorized(err)
 	}
--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -18,6 +18,7 @@
 	"bluebellhoist/daemon/courier"
 )
 
+// serveEgress answers a service call of a local caller.
 func (f *Forwarder) serveEgress(w http.ResponseWriter, r *http.Request) {
 	draining := f.inFlight.begin()
 	defer f.inFlight.end()
@@ -51,6 +52,12 @@
 	}
 	c = current
 	d := &delivery{f: f, call: c, request: r, body: reqBody, header: requestHeader(r)}
+	d.serve(w)
+}
+
+// serve authorizes the call, takes its token, sends it and writes the response.
+func (d *delivery) serve(w http.ResponseWriter) {
+	f, c, r := d.f, d.call, d.request
 	if errAnswer := d.authorize(); errAnswer != nil {
 		f.writeErrorResponse(w, r, "egress", errAnswer)
 		return
@@ -73,7 +80,7 @@
 		result.done(nil)
 		return
 	}
-	err = result.answer.write(w, r.Method)
+	err := result.answer.write(w, r.Method)
 	result.done(err)
 	if errors.Is(err, errIncomplete) {
 		panic(http.ErrAbortHandler)
@@ -88,14 +95,14 @@
 
 // delivery sends one call to members until one of them responds.
 type delivery struct {
-	f       *Forwarder
-	call    *egressCall
-	request *http.Request
-	body    *body
-	header  http.Header
-	keyed   authorizer.Call
-	grant   authorizer.Grant                // of the authorization after the call was read
-	token   atomic.Pointer[func(used bool)] // ends the token of the first attempt; nil once that is made, or without a limit
+	f           *Forwarder
+	call        *egressCall
+	request     *http.Request
+	body        *body
+	header      http.Header
+	credentials authorizer.Call
+	grant       authorizer.Grant                // of the authorization after the call was read
+	token       atomic.Pointer[func(used bool)] // ends the token of the first attempt; nil once that is made, or without a limit
 }
 
 // result is the outcome of a delivery.
