Split buildComponents and comment the connection limits

Change: buildForwarder, fitting, limit; the doc comment says which limit on descriptors applies, and the fields say to which endpoints they apply. Result: no change of behavior; the tests of the runner pass.

--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -66,6 +66,12 @@
 	if s.Quota.Enabled() {
 		r.buildQuota(s)
 	}
+	r.buildForwarder(peers)
+	r.buildRoutedComponents(s, peers)
+}
+
+// buildForwarder creates the component that carries service calls.
+func (r *Runner) buildForwarder(peers *connector.Connector) {
 	r.forwarder = forwarder.New(
 		forwarder.WithSnapshot(r.subscriber.Snapshot),
 		forwarder.WithPick(r.pickForServiceCall),
@@ -84,7 +90,6 @@
 		forwarder.WithDialPeer(peers.Dial),
 		forwarder.WithAccount(r.account),
 	)
-	r.buildRoutedComponents(s, peers)
 }
 
 // buildRoutedComponents creates the components that carry routed calls.
--- a/daemon/runner/connections.go
+++ b/daemon/runner/connections.go
@@ -25,11 +25,13 @@
 
 // connectionLimits holds the largest numbers of connections of the endpoints of a daemon.
 type connectionLimits struct {
-	callers, peers, own int
+	callers int // of each endpoint for callers
+	peers   int // of the endpoint for other daemons
+	own     int // of each of the other endpoints
 }
 
-// newConnectionLimits returns the limits for the memory for callers and for a number of descriptors, or for that of the
-// process if it is 0.
+// newConnectionLimits returns the limits for the given number of descriptors and the given bytes of memory for callers. The
+// limit of the process on descriptors applies if it is lower, or if files is 0.
 func newConnectionLimits(files int, memory int64) connectionLimits {
 	if files == 0 {
 		files = math.MaxInt32
@@ -38,15 +40,15 @@
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil {
 		files = int(min(uint64(files), limit.Cur))
 	}
-	share := func(part float64, most int) int {
-		return max(1, min(int(part*float64(files)), most))
+	share := func(part float64, limit int) int {
+		return max(1, min(int(part*float64(files)), limit))
 	}
-	most := func(connectionBytes float64) int {
+	fitting := func(connectionBytes float64) int {
 		return int(min(connectionShare*float64(memory)/connectionBytes, maxCallerConnections))
 	}
 	return connectionLimits{
-		callers: share(callerShare, most(pipeliner.ConnectionBytes)),
-		peers:   share(peerShare, most(gatekeeper.ConnectionBytes)),
+		callers: share(callerShare, fitting(pipeliner.ConnectionBytes)),
+		peers:   share(peerShare, fitting(gatekeeper.ConnectionBytes)),
 		own:     share(ownShare, gatekeeper.DefaultConnections),
 	}
 }
