Name constants and comment state in pipeliner, courier and deliverer

Cause: the time of Retry-After and the size of the head buffer were bare numbers, countAnswered recorded more than a count, and the abort of a shed call and the read deadline in the past had no reason. Change: refusalRetryAfter, headCapacity, recordAnswer, slotOnce; comments with the reasons. Result: no change of behavior; the tests of pipeliner, courier and deliverer pass.

--- a/daemon/courier/body.go
+++ b/daemon/courier/body.go
@@ -96,7 +96,7 @@
 	return body, r.allow(total, 0)
 }
 
-// allow returns an error if a body of the given total size exceeds the limit or cannot grow.
+// allow returns an error if a body of total bytes exceeds the limit, or if it cannot grow by growth bytes.
 func (r BodyReader) allow(total, growth int64) error {
 	if r.Limit != nil && total > r.Limit() {
 		return ErrBodyTooLarge
--- a/daemon/courier/request.go
+++ b/daemon/courier/request.go
@@ -36,10 +36,13 @@
 	return path
 }
 
+// headCapacity is the initial size in bytes of the buffer for a start line and a header.
+const headCapacity = 512
+
 // encodeHead returns the request line and the header in wire format. The header must not contain hop-by-hop headers.
 func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512)
+	b.Grow(headCapacity)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	writeHeader(&b, r.Header)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
@@ -82,7 +85,7 @@
 // Encode returns the response to a request with the given method in wire format: the head, and the body if it is sent.
 func (a *Answer) Encode(method string) (head, body []byte) {
 	var b bytes.Buffer
-	b.Grow(512)
+	b.Grow(headCapacity)
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
 	writeHeader(&b, a.Header)
 	bodyless := a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
--- a/daemon/deliverer/peercall.go
+++ b/daemon/deliverer/peercall.go
@@ -85,6 +85,7 @@
 		p.holder.Replace(int64(len(result.Answer.Body)) + courier.HeaderBytes(result.Answer.Header))
 	}
 	p.writing.Store(true)
+	// There is no memory for the answer of a shed call. Since the call may have run, it is aborted and not refused.
 	if p.holder.IsShed() && result.Outcome != NotRun {
 		panic(http.ErrAbortHandler)
 	}
@@ -94,7 +95,7 @@
 // shed makes the call release its memory.
 func (p *peerCall) shed(cancel context.CancelFunc) {
 	cancel()
-	_ = p.control.SetReadDeadline(time.Unix(1, 0))
+	_ = p.control.SetReadDeadline(time.Unix(1, 0)) // in the past, so that a pending read ends
 	if p.writing.Load() {
 		_ = p.control.SetWriteDeadline(time.Unix(1, 0))
 	}
--- a/daemon/pipeliner/connection.go
+++ b/daemon/pipeliner/connection.go
@@ -25,13 +25,13 @@
 
 // connection is a connection of a caller.
 type connection struct {
-	server *Server
-	raw    net.Conn
-	input  *inputReader
-	r      *bufio.Reader
-	queue  chan *pipelinedCall
-	unsent []*pipelinedCall // calls whose response was not written; set when writeAnswers returns
-	slot   sync.Once        // releases the slot of the connection
+	server   *Server
+	raw      net.Conn
+	input    *inputReader
+	r        *bufio.Reader
+	queue    chan *pipelinedCall
+	unsent   []*pipelinedCall // calls whose response was not written; set when writeAnswers returns
+	slotOnce sync.Once        // guards the release of the slot
 
 	evicted bool // closed in favor of a new connection; guarded by server.mu
 
@@ -168,6 +168,7 @@
 	return holder
 }
 
+// endReceiving records that no call is being read any more.
 func (c *connection) endReceiving() {
 	now := time.Now()
 	c.waiting.Store(&now)
@@ -185,7 +186,7 @@
 		return
 	}
 	c.deadlineFinal = true
-	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	_ = c.raw.SetReadDeadline(time.Unix(1, 0)) // in the past, so that a pending read ends
 }
 
 // setReadDeadline sets the read deadline unless it is final.
--- a/daemon/pipeliner/reader.go
+++ b/daemon/pipeliner/reader.go
@@ -155,6 +155,7 @@
 	lastErr    error  // error of the last read; readers above it may return another one
 }
 
+// Read reads from the connection, counts the bytes and keeps the error.
 func (i *inputReader) Read(p []byte) (int, error) {
 	if i.beforeRead != nil {
 		i.beforeRead()
--- a/daemon/pipeliner/slots.go
+++ b/daemon/pipeliner/slots.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// acquireSlot reserves a connection. If there are too many, it closes one that is less useful than a new one, and reports
-// false if there is none.
+// acquireSlot reserves a connection. If there are too many, it closes one that evict selects, and reports false if there is
+// none.
 func (s *Server) acquireSlot() bool {
 	if s.slots == nil {
 		return true
@@ -23,7 +23,7 @@
 // releaseSlot makes room for another connection.
 func (c *connection) releaseSlot() {
 	if c.server.slots != nil {
-		c.slot.Do(func() { <-c.server.slots })
+		c.slotOnce.Do(func() { <-c.server.slots })
 	}
 }
 
--- a/daemon/pipeliner/writer.go
+++ b/daemon/pipeliner/writer.go
@@ -18,7 +18,7 @@
 		c.closing.Store(last)
 		err := c.writeAnswer(a, call.method)
 		call.holder.Close()
-		c.countAnswered()
+		c.recordAnswer()
 		if err != nil {
 			cancel()
 		}
@@ -58,8 +58,8 @@
 	}
 }
 
-// countAnswered records that a response was written.
-func (c *connection) countAnswered() {
+// recordAnswer records that a response was written.
+func (c *connection) recordAnswer() {
 	now := time.Now()
 	c.lastAnswer.Store(&now)
 	c.pending.Add(-1)
@@ -96,11 +96,14 @@
 	_ = tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
+// refusalRetryAfter is how many seconds after a refusal for lack of memory a caller is told to retry.
+const refusalRetryAfter = "1"
+
 // refuse returns the response that refuses a call which has not run.
 func refuse(status int, text string) *courier.Answer {
 	h := http.Header{"Content-Type": {"text/plain"}, courier.HeaderOutcome: {"not-run"}}
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", "1")
+		h.Set("Retry-After", refusalRetryAfter)
 	}
 	return &courier.Answer{Status: status, Header: h, Body: []byte(text + "\n")}
 }
