Rename a parameter that hides the descriptor limit

Cause: in newConnectionLimits the parameter "limit" of share hid the variable of the same name. Change: the parameter is called largest. Result: no change of behavior; the tests of the runner pass.

--- a/daemon/runner/connections.go
+++ b/daemon/runner/connections.go
@@ -40,8 +40,8 @@
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil {
 		files = int(min(uint64(files), limit.Cur))
 	}
-	share := func(part float64, limit int) int {
-		return max(1, min(int(part*float64(files)), limit))
+	share := func(part float64, largest int) int {
+		return max(1, min(int(part*float64(files)), largest))
 	}
 	fitting := func(connectionBytes float64) int {
 		return int(min(connectionShare*float64(memory)/connectionBytes, maxCallerConnections))
