Explain shedding, leaves and limits of callers in comments

Cause: the package comment of the accountant did not say what shedding is; fields of reports, held announcements and the limit log had no comments; "calls without an answer that was read" was odd. Change: comments only. Result: no change of behavior; the tests of accountant, carrier, announcer and pipeliner pass.

--- a/core/accountant/accountant.go
+++ b/core/accountant/accountant.go
@@ -1,5 +1,5 @@
-// Package accountant keeps the account of the memory that callers occupy. When the account is full, it sheds the holder
-// that occupies the most memory for the longest time.
+// Package accountant keeps the account of the memory that callers occupy. When the account is full, it sheds a holder, which
+// then has to release its memory: the one that has occupied the most for the longest time.
 package accountant
 
 import (
--- a/core/carrier/carrier.go
+++ b/core/carrier/carrier.go
@@ -64,6 +64,7 @@
 	return err
 }
 
+// open returns the socket, which it opens if necessary.
 func (c *Carrier) open() (*net.UDPConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/daemon/announcer/departure.go
+++ b/daemon/announcer/departure.go
@@ -16,7 +16,7 @@
 type heldUpstream struct {
 	upstream wire.Upstream
 	seq      uint64
-	at       time.Time
+	at       time.Time // when it was received
 }
 
 // undatedLeave is a final leave of an upstream whose start time was unknown. Processes that started later are not affected.
@@ -25,6 +25,7 @@
 	at int64 // time of receipt, in milliseconds since the Unix epoch
 }
 
+// covers reports whether an announcement or report of the upstream is out of date.
 func (l undatedLeave) covers(u wire.Upstream) bool {
 	return l.id != "" && l.id == u.ID && u.Start <= l.at
 }
@@ -70,7 +71,7 @@
 	}
 }
 
-// depart records a departure unless a later one is known. The caller holds the lock.
+// depart records a departure and passes it on to the other members, unless a later one is known. The caller holds the lock.
 func (a *Announcer) depart(d wire.Departure) {
 	if !d.After(a.departed) {
 		return
--- a/daemon/announcer/report.go
+++ b/daemon/announcer/report.go
@@ -29,8 +29,8 @@
 	id      string
 	start   int64
 	seq     uint64
-	leaving bool
-	final   bool
+	leaving bool // the upstream is leaving
+	final   bool // all other reports of the same process are out of date
 }
 
 func newReportID(r Report) reportID {
@@ -42,7 +42,7 @@
 	return n.id == u.ID && (n.start == 0 || u.Start == 0 || n.start == u.Start)
 }
 
-// departure returns the departure of which a leave with this id informs.
+// departure returns the departure that a leave with this id stands for.
 func (n reportID) departure() wire.Departure {
 	d := wire.Departure{Upstream: wire.HashUpstream(n.id), Start: n.start, Seq: n.seq}
 	if n.final {
--- a/daemon/pipeliner/limits.go
+++ b/daemon/pipeliner/limits.go
@@ -12,7 +12,7 @@
 // Reasons for which callers are limited.
 const (
 	reasonConnections = "connections" // too many connections
-	reasonPipelined   = "pipelined"   // too many calls without an answer that was read; further ones wait
+	reasonPipelined   = "pipelined"   // too many calls whose response was not written; further ones wait
 	reasonFields      = "fields"      // too many header fields
 	reasonHeaderBytes = "header-bytes"
 	reasonBodyBytes   = "body-bytes"
@@ -27,8 +27,8 @@
 // limitLog limits the rate of log lines for each reason.
 type limitLog struct {
 	mu    sync.Mutex
-	times map[string]time.Time
-	count map[string]int // callers that were not logged
+	times map[string]time.Time // of the last log line, by reason
+	count map[string]int       // callers since then that were not logged, by reason
 }
 
 // countLimited counts a caller that is refused, or has to wait, for the given reason. It logs the caller's address unless
