Name the parts of the allocator's lease after it

In the allocator and in the runner's quota, the type that keeps the lease was called share and its renewal a proof, which in the glossary is what shows a daemon that its configuration is current. "Held" time meant the time with a lease, extraShare the part that extra tokens may not take, and Limits returned a number.

The comment of settle no longer says that it refills buckets whose portion has not changed.

Names and comments only. The tests follow the renames with the same checks; those of controller/allocator and controller/runner pass.

--- a/controller/allocator/allocator.go
+++ b/controller/allocator/allocator.go
@@ -20,8 +20,8 @@
 	count func(batch, tenant string, asked, allotted int)
 
 	mu      sync.Mutex
-	share   share
-	portion portion // by which the buckets are sized
+	lease   lease
+	portion portion // what the buckets are sized for
 	batches map[string]*batch
 }
 
@@ -41,7 +41,7 @@
 
 // New returns an allocator of a process that starts at the given time, for limits with the given bound.
 func New(now time.Duration, bound apportioner.Bound, opts ...Option) *Allocator {
-	a := &Allocator{bound: bound, share: newShare(now), batches: map[string]*batch{}, count: func(string, string, int, int) {}}
+	a := &Allocator{bound: bound, lease: newLease(now), batches: map[string]*batch{}, count: func(string, string, int, int) {}}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -53,7 +53,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.settle(now)
-	a.share.apply(now, voters, voting)
+	a.lease.apply(now, voters, voting)
 	a.settle(now)
 }
 
@@ -62,29 +62,29 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.settle(now)
-	a.share.skip(now)
+	a.lease.skip(now)
 	a.settle(now)
 }
 
-// Prove records a barrier of the replicated log that began at start and has completed.
-func (a *Allocator) Prove(start, now time.Duration) {
+// RenewLease extends the lease by a barrier of the replicated log that began at start and has completed.
+func (a *Allocator) RenewLease(start, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.settle(now)
-	a.share.prove(start, now)
+	a.lease.renew(start, now)
 }
 
-// settle refills all buckets until now and resizes them if the portion of this controller has changed.
+// settle refills and resizes all buckets if the portion of this controller has changed.
 func (a *Allocator) settle(now time.Duration) {
-	current := a.share.current(now)
+	current := a.lease.current(now)
 	if current == a.portion {
 		return
 	}
 	// A share that grew did so at some time before now, and one that shrinks does so now.
-	held := a.share.held(now)
+	leased := a.lease.leased(now)
 	for _, b := range a.batches {
 		for _, bucket := range b.buckets {
-			bucket.advance(held)
+			bucket.advance(leased)
 			bucket.resize(a.bound, current)
 		}
 	}
@@ -105,7 +105,7 @@
 // ready reports whether this controller may allot tokens.
 func (a *Allocator) ready(now time.Duration) bool {
 	a.settle(now)
-	return a.share.proven(now) && a.portion.share > 0
+	return a.lease.valid(now) && a.portion.share > 0
 }
 
 func (a *Allocator) allot(now time.Duration, batch string, item wire.QuotaItem) (granted int, wait time.Duration, ok bool) {
@@ -117,7 +117,7 @@
 	if b == nil || b.limit.Mod < item.Mod {
 		return 0, 0, false
 	}
-	b.advance(a.share.held(now))
+	b.advance(a.lease.leased(now))
 	granted, wait = b.allot(item.Count, item.Extra)
 	a.count(batch, item.Tenant, item.Count, granted)
 	return granted, wait, true
@@ -149,6 +149,6 @@
 		return 0, false
 	}
 	b := known.buckets[tenant]
-	b.advance(a.share.held(now))
+	b.advance(a.lease.leased(now))
 	return b.content, true
 }
--- a/controller/allocator/allocator_test.go
+++ b/controller/allocator/allocator_test.go
@@ -24,7 +24,7 @@
 	a = New(0, apportioner.Bound{})
 	a.ApplyMembership(0, voters, true)
 	now = Lease + 1
-	a.Prove(now, now)
+	a.RenewLease(now, now)
 	a.SetLimits(now, "b", 1, maps.All(limits))
 	return a, now
 }
@@ -53,10 +53,10 @@
 	assertAllot(t, a, now+time.Second, 15, 0, 10)
 	assertAllot(t, a, now+Lease-time.Second/2, 100, 0, 15)
 	now += time.Hour
-	a.Prove(now, now)
+	a.RenewLease(now, now)
 	assertAllot(t, a, now, 100, 0, 5) // the rest of the lease, but nothing without one
 	assertAllot(t, a, now+time.Second, 100, 0, 10)
-	a.Prove(now+time.Second, now+time.Second)
+	a.RenewLease(now+time.Second, now+time.Second)
 	assertAllot(t, a, now+time.Second+Lease-1, 100, 0, 21)
 }
 
@@ -92,12 +92,12 @@
 	now += 2 * time.Second
 	a.SetLimits(now, "b", 2, maps.All(limitsOf(10, 5, 2)))
 	assertAllot(t, a, now, 20, 0, 6)
-	a.Prove(now, now)
+	a.RenewLease(now, now)
 	a.SetLimits(now, "b", 3, maps.All(limitsOf(100, 200, 3)))
 	assertAllot(t, a, now, 20, 0, 0)
 	now += time.Second
 	a.SetLimits(now, "b", 4, maps.All(map[string]Limit{}))
-	is.Equal(a.Limits(), 0)
+	is.Equal(a.LimitCount(), 0)
 	assertSilent(t, a, now)
 	a.SetLimits(now, "b", 5, maps.All(limitsOf(100, 200, 5)))
 	assertAllot(t, a, now, 20, 0, 0)
@@ -110,23 +110,23 @@
 	a, now := newAllocator(1, limitsOf(10, 10, 1))
 	assertAllot(t, a, now+Lease-1, 1, 0, 1)
 	assertSilent(t, a, now+Lease)
-	a.Prove(now, now+2*Lease) // the barrier took too long
+	a.RenewLease(now, now+2*Lease) // the barrier took too long
 	assertSilent(t, a, now+2*Lease)
-	a.Prove(now+2*Lease, now+2*Lease)
+	a.RenewLease(now+2*Lease, now+2*Lease)
 	assertAllot(t, a, now+2*Lease, 1, 0, 1)
 }
 
 // TestMemberships guards against shares that add up to more than 1 while controllers hold different memberships.
 func TestMemberships(t *testing.T) {
 	const second = time.Second
-	prove := func(a *Allocator, now time.Duration) { a.Prove(now, now) }
+	renew := func(a *Allocator, now time.Duration) { a.RenewLease(now, now) }
 	t.Run("a process starts without a share", func(t *testing.T) {
 		a := New(0, apportioner.Bound{})
 		a.SetLimits(0, "b", 1, maps.All(limitsOf(10, 10, 1)))
 		a.ApplyMembership(second, 1, true)
-		prove(a, second)
+		renew(a, second)
 		assertSilent(t, a, 2*second)
-		prove(a, 3*second)
+		renew(a, 3*second)
 		assertSilent(t, a, second+Lease)
 		assertAllot(t, a, second+Lease+1, 1, 0, 0)
 	})
@@ -134,26 +134,26 @@
 		a, now := newAllocator(2, limitsOf(10, 20, 1))
 		a.ApplyMembership(now+second, 4, true)
 		assertAllot(t, a, now+second, 10, 0, 5)
-		prove(a, now+second)
+		renew(a, now+second)
 		assertAllot(t, a, now+3*second, 10, 0, 5)
 	})
 	t.Run("a larger share counts a lease later", func(t *testing.T) {
 		a, now := newAllocator(2, limitsOf(10, 20, 1))
 		a.ApplyMembership(now, 1, true)
-		prove(a, now+2*second)
+		renew(a, now+2*second)
 		assertAllot(t, a, now+Lease, 20, 0, 11)
-		prove(a, now+Lease)
+		renew(a, now+Lease)
 		assertAllot(t, a, now+Lease+1, 10, 0, 0)
 		assertAllot(t, a, now+Lease+second+1, 15, 0, 10)
 	})
 	t.Run("a removed voter loses its tokens", func(t *testing.T) {
 		a, now := newAllocator(1, limitsOf(10, 20, 1))
 		now += 2 * second
-		prove(a, now)
+		renew(a, now)
 		a.ApplyMembership(now, 1, false)
 		a.ApplyMembership(now, 1, true)
 		assertSilent(t, a, now+second)
-		prove(a, now+Lease)
+		renew(a, now+Lease)
 		assertAllot(t, a, now+Lease+1, 10, 0, 0)
 	})
 	t.Run("a checkpoint hides memberships", func(t *testing.T) {
@@ -161,7 +161,7 @@
 		now += 2 * second
 		a.SkipMemberships(now)
 		a.ApplyMembership(now, 1, true)
-		prove(a, now)
+		renew(a, now)
 		assertSilent(t, a, now+second)
 	})
 }
--- a/controller/allocator/bucket.go
+++ b/controller/allocator/bucket.go
@@ -11,8 +11,8 @@
 	// minWait and maxWait bound the time that an allotment states until there is room.
 	minWait = 20 * time.Millisecond
 	maxWait = carrier.MaxWait
-	// extraShare is the share of a bucket that is kept for calls that wait. Tokens for expected calls may go unused.
-	extraShare = 0.5
+	// reservedShare is the share of a bucket that is kept for calls that wait. Tokens for expected calls may go unused.
+	reservedShare = 0.5
 )
 
 // Limit is the limit on the calls of one tenant over the whole mesh.
@@ -25,7 +25,7 @@
 	size    float64 // largest content
 	content float64
 	owed    float64       // tokens that were refused lately and not refilled since
-	at      time.Duration // held time at which content and owed were computed
+	at      time.Duration // leased time at which content and owed were computed
 }
 
 // portion is what a controller may allot of every limit.
@@ -43,15 +43,15 @@
 	b.content = min(b.content, b.size)
 }
 
-// advance refills the bucket until the given held time.
-func (b *bucket) advance(held time.Duration) {
-	if held <= b.at {
+// advance refills the bucket until the given leased time.
+func (b *bucket) advance(leased time.Duration) {
+	if leased <= b.at {
 		return
 	}
-	refill := b.rate * (held - b.at).Seconds()
+	refill := b.rate * (leased - b.at).Seconds()
 	b.content = min(b.content+refill, b.size)
 	b.owed = max(b.owed-refill, 0)
-	b.at = held
+	b.at = leased
 }
 
 // allot takes up to count tokens, and up to extra tokens of what the bucket holds beyond the part kept for waiting calls. If it
@@ -60,7 +60,7 @@
 	granted = min(count, int(b.content))
 	b.content -= float64(granted)
 	if granted == count {
-		spare := min(extra, max(0, int(b.content-extraShare*b.size)))
+		spare := min(extra, max(0, int(b.content-reservedShare*b.size)))
 		b.content -= float64(spare)
 		return granted + spare, 0
 	}
--- a/controller/allocator/limits.go
+++ b/controller/allocator/limits.go
@@ -20,7 +20,7 @@
 		return
 	}
 	a.settle(now)
-	held := a.share.held(now)
+	leased := a.lease.leased(now)
 	limited := 0
 	for tenant, limit := range limits {
 		if limit.Rate <= 0 {
@@ -30,7 +30,7 @@
 		if limit.Mod <= known.version && known.buckets[tenant] != nil {
 			continue
 		}
-		known.set(tenant, limit, held).resize(a.bound, a.portion)
+		known.set(tenant, limit, leased).resize(a.bound, a.portion)
 	}
 	known.version = version
 	if limited < len(known.buckets) {
@@ -39,13 +39,13 @@
 }
 
 // set sets the limit of one tenant and returns its bucket, which is refilled by the old limit until now.
-func (b *batch) set(tenant string, limit Limit, held time.Duration) *bucket {
+func (b *batch) set(tenant string, limit Limit, leased time.Duration) *bucket {
 	known := b.buckets[tenant]
 	if known == nil {
-		known = &bucket{at: held}
+		known = &bucket{at: leased}
 		b.buckets[tenant] = known
 	}
-	known.advance(held)
+	known.advance(leased)
 	known.limit = limit
 	return known
 }
@@ -70,8 +70,8 @@
 	delete(a.batches, name)
 }
 
-// Limits returns the number of tenants with a limit.
-func (a *Allocator) Limits() int {
+// LimitCount returns the number of tenants with a limit.
+func (a *Allocator) LimitCount() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	limits := 0
--- a/controller/runner/quota.go
+++ b/controller/runner/quota.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// proofInterval is the time between two barriers that renew the lease of the allocator. A lease so outlasts two that fail.
-	proofInterval = time.Second
-	// proofTimeout bounds a barrier. A longer one would leave little of the lease.
-	proofTimeout = allocator.Lease / 2
+	// renewInterval is the time between two barriers that renew the lease of the allocator. A lease so outlasts two that fail.
+	renewInterval = time.Second
+	// renewTimeout bounds a barrier. A longer one would leave little of the lease.
+	renewTimeout = allocator.Lease / 2
 )
 
 // quota allots the tokens of tenants to daemons.
@@ -37,7 +37,7 @@
 	mu   sync.Mutex
 	seen *registrar.View // view whose limits the allocator knows
 
-	proven bool // the last barrier succeeded; used by Run only
+	renewed bool // the last barrier succeeded; used by Run only
 }
 
 // newQuota returns the quota of a node.
@@ -116,17 +116,17 @@
 // Run renews the lease of the allocator until ctx ends. It does nothing while no tenant has a limit.
 func (q *quota) Run(ctx context.Context) error {
 	for {
-		if err := q.renew(ctx); err != nil {
+		if err := q.maintain(ctx); err != nil {
 			return err
 		}
 	}
 }
 
-// renew renews the lease once, and returns when that is due again. Its error is that of ctx.
-func (q *quota) renew(ctx context.Context) error {
+// maintain renews the lease once if any tenant has a limit, and returns when that is due again. Its error is that of ctx.
+func (q *quota) maintain(ctx context.Context) error {
 	changed := q.view().Changed()
 	q.updateLimits()
-	if q.allocator.Limits() == 0 {
+	if q.allocator.LimitCount() == 0 {
 		select {
 		case <-changed:
 			return nil
@@ -137,32 +137,32 @@
 	if err := q.carrier.Open(); err != nil {
 		q.log.Error("cannot receive asks for tokens", "error", err)
 	} else {
-		q.prove(ctx)
+		q.renew(ctx)
 	}
-	return waiter.Sleep(ctx, proofInterval)
+	return waiter.Sleep(ctx, renewInterval)
 }
 
-// prove renews the lease by a barrier.
-func (q *quota) prove(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+// renew renews the lease by a barrier.
+func (q *quota) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	start := q.clock()
 	err := q.barrier(ctx)
-	q.logProof(err)
+	q.logRenewal(err)
 	if err != nil {
 		return
 	}
 	q.updateLimits()
-	q.allocator.Prove(start, q.clock())
+	q.allocator.RenewLease(start, q.clock())
 }
 
-// logProof logs when barriers begin or cease to succeed.
-func (q *quota) logProof(err error) {
+// logRenewal logs when barriers begin or cease to succeed.
+func (q *quota) logRenewal(err error) {
 	switch {
-	case err == nil && !q.proven:
-		q.log.Info("lease for quotas renewed", "tenants", q.allocator.Limits())
-	case err != nil && q.proven:
+	case err == nil && !q.renewed:
+		q.log.Info("lease for quotas renewed", "tenants", q.allocator.LimitCount())
+	case err != nil && q.renewed:
 		q.log.Warn("lease for quotas not renewed; no tokens are allotted after its end", "error", err)
 	}
-	q.proven = err == nil
+	q.renewed = err == nil
 }
--- a/controller/runner/quota_test.go
+++ b/controller/runner/quota_test.go
@@ -29,8 +29,8 @@
 // renewTestQuota renews the lease of a node with a quota until ctx ends. It does not open a socket.
 func (r *Runner) renewTestQuota(ctx context.Context) {
 	for r.quota != nil && ctx.Err() == nil {
-		r.quota.prove(ctx)
-		if waiter.Sleep(ctx, proofInterval) != nil {
+		r.quota.renew(ctx)
+		if waiter.Sleep(ctx, renewInterval) != nil {
 			return
 		}
 	}
