Say what makes a replicator's tick current

recordCurrency reads as if it were about money, and its comment and that of WithMembership left open which node's index and which memberships they mean.

The functions are recordCurrentTick and recordOwnCurrentTick, after the field they set, and the comments state the conditions.

Names and comments only; the tests of controller/replicator pass.

--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -180,7 +180,7 @@
 func (c *core) flush() output {
 	if c.role == leader {
 		c.advanceCommit()
-		c.recordOwnCurrency()
+		c.recordOwnCurrentTick()
 		c.startReadRound()
 		c.replicate()
 	}
--- a/controller/replicator/election.go
+++ b/controller/replicator/election.go
@@ -56,10 +56,10 @@
 	return p.Clock - age, p.Clock <= c.tick && p.Clock >= c.startTick+age
 }
 
-// recordCurrency records that this node has committed every entry that was acknowledged before the leader had the majority
-// that an append proves. That needs the commit index of the leader, and an entry of its own term there: before that the
-// index may be behind commits that the previous leader acknowledged.
-func (c *core) recordCurrency(p wire.Packet) {
+// recordCurrentTick records that this node has committed every entry that was acknowledged before the leader had the majority
+// that the append p proves. It does so only if this node has committed up to the commit index of the leader, and the entry
+// there is of the leader's own term: before that the index may be behind commits that the previous leader acknowledged.
+func (c *core) recordCurrentTick(p wire.Packet) {
 	if term, ok := c.log.term(p.Commit); !ok || term != p.Term || c.log.commit < p.Commit {
 		return
 	}
--- a/controller/replicator/follower.go
+++ b/controller/replicator/follower.go
@@ -29,7 +29,7 @@
 	}
 	matched := p.Index + uint64(len(p.Entries))
 	c.log.commit = max(c.log.commit, min(p.Commit, matched))
-	c.recordCurrency(p)
+	c.recordCurrentTick(p)
 	c.replyAppend(p, matched)
 }
 
--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -118,8 +118,8 @@
 	return term == c.term
 }
 
-// recordOwnCurrency records that this leader has committed every entry that was acknowledged before it last had a majority.
-func (c *core) recordOwnCurrency() {
+// recordOwnCurrentTick records that this leader has committed every entry that was acknowledged before it last had a majority.
+func (c *core) recordOwnCurrentTick() {
 	if c.ownTermCommitted() {
 		c.currentTick, c.hasCurrentTick = max(c.currentTick, c.quorumTick), true
 	}
--- a/controller/replicator/options.go
+++ b/controller/replicator/options.go
@@ -55,8 +55,9 @@
 	return func(r *Replicator) { r.restore = restore }
 }
 
-// WithMembership sets the function that gets each membership as it takes effect on this node. Skipped means that others may
-// have been in effect since the last one: the node has started or continues from a checkpoint. It runs on the goroutine of Run.
+// WithMembership sets the function that gets each membership as it takes effect on this node. If skipped is true, this node may
+// have missed other memberships since the last one: it has started from a checkpoint or installed one. The function runs on
+// the goroutine of Run.
 func WithMembership(membership func(nodes []wire.Node, skipped bool)) Option {
 	return func(r *Replicator) { r.membership = membership }
 }
