Name the limits on a controller's connections

ownShare and ownConnections are about every endpoint but the main one, a bound was called most, and the quota, its counters and the functions that compute connections had short or no comments.

The names are otherShare, otherConnections and limit, and the comments say what is counted.

Names and comments only; the tests of controller/runner pass.

--- a/controller/runner/gates.go
+++ b/controller/runner/gates.go
@@ -10,9 +10,9 @@
 
 const (
 	// mainShare is the share of the descriptors for the connections of daemons, controllers and operators on the main
-	// endpoint, and ownShare that of each other endpoint. The rest is for files and connections that the node opens.
-	mainShare = 0.6
-	ownShare  = 0.1
+	// endpoint, and otherShare that of each other endpoint. The rest is for files and connections that the node opens.
+	mainShare  = 0.6
+	otherShare = 0.1
 	// connectionShare is the share of the memory for requests that the connections of the main endpoint may take without
 	// requests. Sessions of daemons are most of them.
 	connectionShare = 0.5
@@ -29,24 +29,26 @@
 		gatekeeper.WithBodyCost(bodyCost), gatekeeper.WithLogger(r.log.Named("gatekeeper")))
 }
 
+// mainConnections returns the largest number of connections of the main endpoint.
 func (r *Runner) mainConnections() int {
-	most := connectionShare * float64(r.account.Size()) / gatekeeper.ConnectionBytes
-	return r.connections(mainShare, int(min(most, maxMainConnections)))
+	limit := connectionShare * float64(r.account.Size()) / gatekeeper.ConnectionBytes
+	return r.connections(mainShare, int(min(limit, maxMainConnections)))
 }
 
-func (r *Runner) ownConnections() int {
-	return r.connections(ownShare, gatekeeper.DefaultConnections)
+// otherConnections returns the largest number of connections of each endpoint other than the main one.
+func (r *Runner) otherConnections() int {
+	return r.connections(otherShare, gatekeeper.DefaultConnections)
 }
 
-// connections returns a share of the descriptors in the settings, or of those of the process.
-func (r *Runner) connections(share float64, most int) int {
+// connections returns a share of the descriptors that the process may open, but at most limit and at least 1.
+func (r *Runner) connections(share float64, limit int) int {
 	files := r.settings.Files
 	if files == 0 {
 		files = math.MaxInt32
 	}
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil {
-		files = int(min(uint64(files), limit.Cur))
+	var system unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &system); err == nil {
+		files = int(min(uint64(files), system.Cur))
 	}
-	return max(1, min(int(share*float64(files)), most))
+	return max(1, min(int(share*float64(files)), limit))
 }
--- a/controller/runner/quota.go
+++ b/controller/runner/quota.go
@@ -23,7 +23,8 @@
 	renewTimeout = allocator.Lease / 2
 )
 
-// quota allots the tokens of tenants to daemons.
+// quota answers the asks of daemons for tokens: it receives them by datagram, passes the limits in force to the allocator and
+// renews its lease.
 type quota struct {
 	clock     func() time.Duration // does not stop while the VM is suspended
 	view      func() *registrar.View
--- a/controller/runner/quotametrics.go
+++ b/controller/runner/quotametrics.go
@@ -22,6 +22,7 @@
 // tenantKey identifies a tenant.
 type tenantKey struct{ batch, tenant string }
 
+// tokenCounters counts the tokens of one tenant, or of all tenants without metrics of their own.
 type tokenCounters struct {
 	asked, allotted *metrics.Counter
 }
@@ -37,6 +38,7 @@
 	t.allotted.Add(allotted)
 }
 
+// counters returns the counters for a tenant.
 func (c *quotaCounter) counters(key tenantKey) *tokenCounters {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -221,7 +221,7 @@
 		if !d.addr.IsValid() {
 			continue
 		}
-		gate := r.newGate(d.addr.String(), r.ownConnections())
+		gate := r.newGate(d.addr.String(), r.otherConnections())
 		endpointListener, err := gate.Listen(d.addr)
 		if err != nil {
 			return errors.Join(err, listener.Close())
