Describe when a gossip round ends

The comment of round did not say that a round ends when its ticks are used up, and pingRound and endRounds had none.

The comments say it, and those of recoveryTicks and earlyExchanges are shorter.

Comments only; the tests of core/gossiper pass.

--- a/core/gossiper/exchange.go
+++ b/core/gossiper/exchange.go
@@ -16,8 +16,8 @@
 // anyDomainExchangePeriod picks its partner from all failure domains; the others stay within the own one.
 const anyDomainExchangePeriod = 4
 
-// earlyExchanges is the number of exchanges after a join that go alternately to the own failure domain and to another one, at
-// intervals that double after every second one. Members that start together and join through different seeds know only the
+// earlyExchanges is the number of exchanges after a join that go alternately to the own failure domain and to another one. Their
+// interval doubles after every second one. Members that start together and join through different seeds know only the
 // members of the same seed at first. In a failure domain without a seed they find no difference among themselves.
 const earlyExchanges = 6
 
--- a/core/gossiper/round.go
+++ b/core/gossiper/round.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// recoveryTicks bounds the wait for the seeds after a start to a second, less than the usual time between two reports of
+	// recoveryTicks bounds the wait for the seeds after a start to 1 s, less than the usual time between two reports of
 	// an upstream. It counts ticks, since a process that is frozen meanwhile has not waited.
 	recoveryTicks = 5
 	// confirmTicks bounds the wait for confirmations. Upstreams wait for the answer to a leave for about a second.
@@ -19,7 +19,8 @@
 	confirmFanout = 4
 )
 
-// round is a series of pings with the own entry to all seeds, repeated until a majority of them has acknowledged it.
+// round is a series of pings with the own entry to all seeds, repeated in each tick until a majority of them has acknowledged
+// it or its ticks are used up.
 //
 // A change that a majority of the seeds has acknowledged is known to at least one of those that answer a later round.
 type round struct {
@@ -27,9 +28,9 @@
 	required int                       // seeds that must acknowledge, or members if there are no seeds
 	pings    map[uint64]netip.AddrPort // addresses by sequence number
 	acked    map[netip.AddrPort]bool
-	ticks    int  // ticks until the round ends
-	others   bool // pings members other than seeds as well
-	end      func(confirmed bool)
+	ticks    int                  // ticks until the round ends
+	others   bool                 // pings members other than seeds as well
+	end      func(confirmed bool) // called once at the end
 }
 
 // Recovered returns a channel that is closed once the own departure is known, if a member still remembers one: after a
@@ -109,6 +110,7 @@
 	}
 }
 
+// pingRound pings the seeds that have not acknowledged a round and, if it includes them, some other members.
 func (g *Gossiper) pingRound(r *round) {
 	for _, addr := range r.seeds {
 		if !r.acked[addr] {
@@ -138,6 +140,7 @@
 	g.endRounds()
 }
 
+// endRounds ends the rounds that are complete or out of time.
 func (g *Gossiper) endRounds() {
 	g.rounds = slices.DeleteFunc(g.rounds, func(r *round) bool {
 		complete := r.complete()
