Name the array limit of gossip messages and the capacity of hash inputs

Both were bare numbers; the first must equal that of core/encoder, and its comment claimed the same for all limits. Some comments said that a batch "calls for keys", which in a program about calls reads as calls.

The numbers are maxGossipElements and hashInputCapacity, and batches require keys. Error texts are unchanged.

No behavior changes; the tests of core/compiler and core/wire pass.

--- a/controller/registrar/tenants.go
+++ b/controller/registrar/tenants.go
@@ -28,7 +28,7 @@
 	return old.Salt
 }
 
-// editedAuth reports whether a batch calls for keys after e. An empty list of tenants does not end the requirement: the
+// editedAuth reports whether a batch requires keys after e. An empty list of tenants does not end the requirement: the
 // removal of the last tenant must not open the routes to everyone.
 func editedAuth(e wire.Edit, old wire.Batch) bool {
 	return len(e.Tenants) > 0 || e.Auth && old.Auth
--- a/core/compiler/sum.go
+++ b/core/compiler/sum.go
@@ -40,6 +40,9 @@
 	return sum, nil
 }
 
+// hashInputCapacity is the number of bytes that the fields of most records take.
+const hashInputCapacity = 256
+
 // hashInput collects the fields of a record. Texts are preceded by their length, so that different fields cannot have the
 // same encoding.
 type hashInput []byte
@@ -55,7 +58,7 @@
 
 // hashRoute returns a hash of all fields of a route.
 func hashRoute(r *wire.Route) uint64 {
-	in := make(hashInput, 0, 256)
+	in := make(hashInput, 0, hashInputCapacity)
 	in.addText(r.Name)
 	in.addText(r.Host)
 	in.addText(r.Prefix)
@@ -80,7 +83,7 @@
 
 // hashTenant returns a hash of all fields of a tenant.
 func hashTenant(t *wire.Tenant) uint64 {
-	in := make(hashInput, 0, 256)
+	in := make(hashInput, 0, hashInputCapacity)
 	in.addText("tenant")
 	in.addText(t.Name)
 	if t.Rank == nil {
--- a/core/compiler/tenants.go
+++ b/core/compiler/tenants.go
@@ -71,6 +71,7 @@
 	return nil
 }
 
+// isQuantity reports whether x is a finite number from 0.
 func isQuantity(x float64) bool {
 	return x >= 0 && !math.IsInf(x, 0)
 }
@@ -94,7 +95,7 @@
 	return nil
 }
 
-// checkSalt returns an error if a batch with tenants has no salt or does not call for keys.
+// checkSalt returns an error if a batch with tenants has no salt or does not require keys.
 func checkSalt(batch wire.Batch) error {
 	if len(batch.Tenants) == 0 {
 		return nil
--- a/core/wire/gossip.go
+++ b/core/wire/gossip.go
@@ -31,9 +31,13 @@
 	Gone []departureRow `cbor:"gone,omitempty"`
 }
 
-// gossipDecMode rejects duplicate keys, like the decoder of the whole message. Its limits are those of that decoder.
+// maxGossipElements is the maximum number of elements of an array in a gossip message. It equals that of the decoder in
+// core/encoder, which decodes the whole message.
+const maxGossipElements = 1 << 20
+
+// gossipDecMode rejects duplicate keys, like the decoder of the whole message.
 var gossipDecMode = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: 1 << 20}.DecMode()
+	mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: maxGossipElements}.DecMode()
 	if err != nil {
 		panic(fmt.Sprintf("wire: invalid options: %v", err))
 	}
