--- a/core/compiler/fuzz_test.go
+++ b/core/compiler/fuzz_test.go
@@ -54,7 +54,7 @@
 	return t
 }
 
-// FuzzSnapshot guards against a frame that ends a daemon, and against a snapshot whose tenants cannot be found by their keys.
+// FuzzSnapshot guards against a frame that crashes a daemon, and against a snapshot whose tenants cannot be found by their keys.
 func FuzzSnapshot(f *testing.F) {
 	for _, batch := range []wire.Batch{
 		tenantBatch(1, tenant("t", "k"), tenant("u", "l", "m")),
