Describe what fresh means to the distributor

The comment of WithFresh still said that a controller is fresh if it heard from a leader with a majority. Since the runner passes whether it holds the acknowledged changes, that is no longer the condition. The comment of MaxUnacknowledged did not say that it is a maximum.

Both comments state it now.

--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -19,7 +19,7 @@
 	"bluebellhoist/core/wire"
 )
 
-// MaxUnacknowledged is the number of updates in flight on a session. With a second one the link is busy while the first is
+// MaxUnacknowledged is the maximum number of updates in flight on a session. With a second one the link is busy while the first is
 // applied. More would wait in the buffers of the connection, and a daemon on a slow link would fall behind by all of them.
 const MaxUnacknowledged = 2
 
@@ -69,7 +69,8 @@
 	return func(d *Distributor) { d.view = view }
 }
 
-// WithFresh sets the function that reports whether this controller recently heard from a leader with a majority.
+// WithFresh sets the function that reports whether this controller holds every acknowledged change but the most
+// recent ones. Daemons leave one that does not.
 func WithFresh(fresh func() bool) Option {
 	return func(d *Distributor) { d.fresh = fresh }
 }
