State when the gossiper's recovered channel is closed

The field's comment named only one of the two ends of the wait that Recovered describes.

It refers to the round of startRecovery.

A comment only; the tests on departures in core/gossiper pass.

--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -66,7 +66,7 @@
 	wake    chan struct{}
 	done    chan struct{}
 
-	recovered chan struct{} // closed once the members that remember a departure have answered
+	recovered chan struct{} // closed when the round of startRecovery has ended
 
 	mu      sync.Mutex
 	actions []func()
