--- a/controller/runner/quota.go
+++ b/controller/runner/quota.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// renewInterval is the time between two barriers that renew the lease of the allocator. A lease so outlasts two that fail.
+	// renewInterval is the time between two barriers that renew the lease of the allocator. A lease so outlasts one that times out.
 	renewInterval = time.Second
 	// renewTimeout bounds a barrier. A longer one would leave little of the lease.
 	renewTimeout = allocator.Lease / 2
