Refuse responses without a valid status

What callers of routed calls got here: the courier took every status below 200 but 101 for that of an interim response. It read on, and returned the body of the response with status 000 as the response if that body looked like one; otherwise the call waited for its deadline. A status 101 that nobody had asked for, one from 600 to 999 and "+20" were passed on. Service calls refused 000 to 199 already (those cases stay as tests) and passed on the rest; for a response that calls itself HTTP/2 on an HTTP/1.1 connection they also took the end of the connection for the end of its body. A stored response of that kind ended the connection of the caller when it was replayed.

Cause: net/http only asks for three characters that are a number, and each reader had its own idea of a final status.

Evidence, on the code before: courier TestMalformedStatus failed for 000, 001, 099, 101, 600, 999, "+20", HTTP/2.0 and a control byte in the reason; forwarder TestMalformedAnswer for 600 and HTTP/2.0, TestMalformedStored in all of its four cases.

Fix: inspector accepts status lines of HTTP/1 with three digits from 100 to 599, which are all that HTTP defines, and CheckFinal says what a final status is, for responses as they arrive and for stored ones. A stored response that cannot be sent is answered like one that was not stored: the call ran and is not run again.

--- a/core/inspector/head.go
+++ b/core/inspector/head.go
@@ -10,6 +10,14 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	minStatus    = 100
+	maxStatus    = 599
+	statusDigits = 3
 )
 
 // headScanner checks header sections or a trailer while their bytes arrive.
@@ -56,15 +64,19 @@
 	return false, s.readField(line)
 }
 
-// readStatusLine reads the status of a line such as "HTTP/1.1 200 OK".
+// readStatusLine checks a status line such as "HTTP/1.1 200 OK". The reason may be missing.
 func (s *headScanner) readStatusLine(line string) error {
-	_, rest, _ := strings.Cut(line, " ")
-	status, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	number, err := strconv.Atoi(status)
-	if err != nil {
+	version, rest, _ := strings.Cut(line, " ")
+	status, reason, _ := strings.Cut(rest, " ")
+	major, _, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 || !httpguts.ValidHeaderFieldValue(reason) {
+		return fmt.Errorf("%w: status line %q", ErrMalformed, shorten(line))
+	}
+	number, err := strconv.ParseUint(status, 10, 16)
+	if err != nil || len(status) != statusDigits || number < minStatus || number > maxStatus {
 		return fmt.Errorf("%w: status %q", ErrMalformed, shorten(status))
 	}
-	s.status = number
+	s.status = int(number)
 	return nil
 }
 
@@ -99,6 +111,9 @@
 			s.next()
 			continue
 		}
+		if err := CheckFinal(s.status); err != nil {
+			return nil, err
+		}
 		return head, nil
 	}
 }
--- a/core/inspector/inspector.go
+++ b/core/inspector/inspector.go
@@ -1,6 +1,7 @@
 // Package inspector decides whether an HTTP response is well-formed and complete. Every program reads responses through it.
 //
-// A response is well-formed if all fields of its header and its trailer are valid. It is complete if it ended where the length or the last chunk says. A
+// A response is well-formed if its status line, its status and all fields of its header and its trailer are valid.
+// It is complete if it ended where the length or the last chunk says. A
 // response without either ends with its connection; only a reader that knows how the connection ended may accept it.
 package inspector
 
@@ -23,6 +24,14 @@
 	ErrTooLarge = errors.New("response header is too large")
 )
 
+// CheckFinal returns an error unless status is that of a final response.
+func CheckFinal(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return fmt.Errorf("%w: %d is not a final status", ErrMalformed, status)
+	}
+	return nil
+}
+
 // CheckFields returns an error if the name or a value of a field is invalid.
 func CheckFields(fields http.Header) error {
 	for name, values := range fields {
@@ -35,6 +44,14 @@
 	return nil
 }
 
+// CheckStored returns an error if a stored response with the given status and content type cannot be sent.
+func CheckStored(status int, contentType string) error {
+	if err := CheckFinal(status); err != nil {
+		return err
+	}
+	return checkField("Content-Type", contentType)
+}
+
 func checkField(name, value string) error {
 	if !httpguts.ValidHeaderFieldName(name) {
 		return fmt.Errorf("%w: field name %q", ErrMalformed, shorten(name))
--- a/core/inspector/inspector_test.go
+++ b/core/inspector/inspector_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -44,6 +45,8 @@
 		"cut off":                           {ok + "A: x\r\n", "", io.ErrUnexpectedEOF},
 		"cut off after an interim response": {"HTTP/1.1 103 Hints\r\n\r\n", "", io.ErrUnexpectedEOF},
 		"empty status line":                 {"\r\n" + ok + "\r\n", "", inspector.ErrMalformed},
+		"status 000":                        {"HTTP/1.1 000 OK\r\n\r\n" + ok + "\r\n", "", inspector.ErrMalformed},
+		"status 101":                        {"HTTP/1.1 101 Switching Protocols\r\n\r\n", "", inspector.ErrMalformed},
 		"blank in a name":                   {ok + "A b: x\r\n\r\n", "", inspector.ErrMalformed},
 		"continued field":                   {ok + "A: x\r\n y\r\n\r\n", "", inspector.ErrMalformed},
 	} {
@@ -85,3 +88,14 @@
 		}
 	}
 }
+
+// TestCheckStored guards against storing or replaying a response that cannot be sent.
+func TestCheckStored(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(inspector.CheckStored(http.StatusOK, ""))
+	is.NoErr(inspector.CheckStored(http.StatusNotFound, "text/plain; charset=utf-8"))
+	for _, status := range []int{-1, 0, 99, 100, 101, 600, 1000} {
+		is.True(errors.Is(inspector.CheckStored(status, ""), inspector.ErrMalformed))
+	}
+	is.True(errors.Is(inspector.CheckStored(http.StatusOK, "text\r\nSet-Cookie: x"), inspector.ErrMalformed))
+}
--- a/core/inspector/transport.go
+++ b/core/inspector/transport.go
@@ -71,8 +71,8 @@
 
 // checkResponse checks a response whose body has not been read.
 func checkResponse(r *http.Response) error {
-	if r.StatusCode < http.StatusOK {
-		return fmt.Errorf("%w: status %d is not a final status", ErrMalformed, r.StatusCode)
+	if err := CheckFinal(r.StatusCode); err != nil {
+		return err
 	}
 	if err := CheckFields(r.Header); err != nil {
 		return err
--- a/daemon/courier/malformed_test.go
+++ b/daemon/courier/malformed_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// TestMalformedStatus guards against passing on a response without a valid status, and against reading past it to the next
+// response as if it were an interim one.
+func TestMalformedStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "+20", "-20", "2x0", "20", "2000", ""} {
+		t.Run(status, func(t *testing.T) {
+			line := "HTTP/1.1 " + status + " Trouble\r\n"
+			expectIncomplete(t, line+"Id: 1\r\nContent-Length: 4\r\n\r\nbody")
+			expectIncomplete(t, line+"Id: 1\r\n\r\n"+answer("1", "body"))
+		})
+	}
+	for name, line := range map[string]string{
+		"other protocol":             "HTTP/2.0 200 OK",
+		"no version":                 "HTTP 200 OK",
+		"control byte in the reason": "HTTP/1.1 200 O\x01K",
+	} {
+		t.Run(name, func(t *testing.T) {
+			expectIncomplete(t, line+"\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+}
+
 // TestWellFormed guards against refusing a response that is unusual but valid.
 func TestWellFormed(t *testing.T) {
 	const start = "HTTP/1.1 200 OK\r\nId: 1\r\n"
@@ -72,6 +93,7 @@
 		"HTTP/1.0":                "HTTP/1.0 200 OK\r\nId: 1\r\n\r\nbody",
 		"trailer":                 start + "Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n4\r\nbody\r\n0\r\nSum: 1\r\n\r\n",
 		"chunk extension":         start + "Transfer-Encoding: Chunked\r\n\r\n4;a=b\r\nbody\r\n0\r\n\r\n",
+		"status 599":              "HTTP/1.1 599 Trouble\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -152,9 +152,10 @@
 	return a
 }
 
-// replayedAnswer returns the stored response of a call that already ran, or a conflict if its body was not stored.
+// replayedAnswer returns the stored response of a call that already ran, or a conflict if its body was not stored or if what
+// was stored is not a valid response.
 func replayedAnswer(verdict wire.Verdict) *answer {
-	if !verdict.Complete {
+	if !verdict.Complete || inspector.CheckStored(verdict.Status, verdict.Kind) != nil {
 		return newErrorAnswer(http.StatusConflict, errorBody{
 			Error: "the call already ran and its answer was not stored", State: verdict.State, Status: verdict.Status,
 		})
--- a/daemon/forwarder/malformed_test.go
+++ b/daemon/forwarder/malformed_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"bluebellhoist/core/wire"
 	"bluebellhoist/daemon/forwarder"
 )
 
@@ -49,6 +50,12 @@
 		"no name":                              ok + ": x\r\n" + length,
 		"blank in an interim response":         "HTTP/1.1 103 Early Hints\r\nSome Field: x\r\n\r\n" + ok + length,
 		"blank in the trailer":                 ok + chunks + "Some Field: x\r\n\r\n",
+		"status 000":                           "HTTP/1.1 000 Trouble\r\n" + length,
+		"status 099":                           "HTTP/1.1 099 Trouble\r\n" + length,
+		"status 101":                           "HTTP/1.1 101 Switching Protocols\r\n" + length,
+		"status 600":                           "HTTP/1.1 600 Trouble\r\n" + length,
+		"status with a sign":                   "HTTP/1.1 +20 Trouble\r\n" + length,
+		"other protocol":                       "HTTP/2.0 200 OK\r\n\r\npart",
 		"no length":                            ok + "\r\npart",
 	} {
 		run(t, name, 1, func(m *mesh) {
@@ -72,6 +79,7 @@
 func TestMalformedNotRepeated(t *testing.T) {
 	const good = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 	for name, bad := range map[string]string{
+		"status":     "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
 		"field name": "HTTP/1.1 200 OK\r\nSome Field: x\r\nContent-Length: 4\r\n\r\nbody",
 	} {
 		run(t, name, 1, func(m *mesh) {
@@ -86,6 +94,41 @@
 	}
 }
 
+// TestMalformedStored guards against replaying a stored response that is not valid HTTP, for example one that an earlier
+// build has stored.
+func TestMalformedStored(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		kind   string
+	}{
+		"no status":                {0, "text/plain"},
+		"status 101":               {101, "text/plain"},
+		"status 600":               {600, "text/plain"},
+		"control byte in the type": {200, "text\x01plain"},
+	} {
+		run(t, name, 1, func(m *mesh) {
+			m.service = "payout"
+			requests := m.serveReplies("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+			key := newKey(bubbleStart)
+			resp, _, err := m.call("POST", "payout", "10 won", forwarder.HeaderIdempotencyKey, key)
+			m.expect(resp, err, http.StatusOK, "")
+			m.claims.change(key, func(stored *wire.Claim) { stored.Status, stored.Kind = c.status, c.kind })
+			resp, _, err = m.call("POST", "payout", "10 won", forwarder.HeaderIdempotencyKey, key)
+			m.expect(resp, err, http.StatusConflict, "")
+			m.is.Equal(requests.Load(), int32(1))
+		})
+	}
+}
+
+// change changes the stored response of a call.
+func (c *claims) change(key string, change func(*wire.Claim)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stored := c.grants[key]
+	change(&stored)
+	c.grants[key] = stored
+}
+
 // TestEndlessAnswer guards against a body without end that is kept in memory, and against taking what arrived until the
 // deadline for the whole.
 func TestEndlessAnswer(t *testing.T) {
