Refuse responses that state the length of their body in two ways

An upstream that sends both Content-Length and Transfer-Encoding, an encoding in HTTP/1.0, a folded field, or a length in the trailer leaves it to the reader where the body ends. In HTTP/1.0 callers of routed calls got the framing of the chunks as part of the body.

Cause: net/http silently picks one of two lengths and removes the other field, so that nothing after it can tell.

The other ten cases of TestAmbiguousFraming were handled already and stay.

Fix: inspector sees the lines before net/http parses them and refuses such a header section. A length that is repeated with the same value is still accepted.

--- a/core/inspector/head.go
+++ b/core/inspector/head.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	headerLength   = "Content-Length"
+	headerEncoding = "Transfer-Encoding"
+
 	minStatus    = 100
 	maxStatus    = 599
 	statusDigits = 3
@@ -27,8 +30,11 @@
 	line    []byte
 
 	// Of the current section.
-	lines  int
-	status int
+	lines       int
+	minor       int // minor version of HTTP
+	status      int
+	hasLength   bool
+	hasEncoding bool
 }
 
 // scan checks the next bytes and returns how many of them belong to the section, and whether it is complete.
@@ -59,7 +65,7 @@
 	case s.lines == 1 && !s.trailer:
 		return false, s.readStatusLine(line)
 	case line == "":
-		return true, nil
+		return true, s.checkFraming()
 	}
 	return false, s.readField(line)
 }
@@ -68,7 +74,7 @@
 func (s *headScanner) readStatusLine(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
 	status, reason, _ := strings.Cut(rest, " ")
-	major, _, ok := http.ParseHTTPVersion(version)
+	major, minor, ok := http.ParseHTTPVersion(version)
 	if !ok || major != 1 || !httpguts.ValidHeaderFieldValue(reason) {
 		return fmt.Errorf("%w: status line %q", ErrMalformed, shorten(line))
 	}
@@ -76,7 +82,7 @@
 	if err != nil || len(status) != statusDigits || number < minStatus || number > maxStatus {
 		return fmt.Errorf("%w: status %q", ErrMalformed, shorten(status))
 	}
-	s.status = int(number)
+	s.minor, s.status = minor, int(number)
 	return nil
 }
 
@@ -86,7 +92,25 @@
 	if !ok {
 		return fmt.Errorf("%w: line %q has no colon", ErrMalformed, shorten(line))
 	}
-	return checkField(name, textproto.TrimString(value))
+	if err := checkField(name, textproto.TrimString(value)); err != nil {
+		return err
+	}
+	s.hasLength = s.hasLength || strings.EqualFold(name, headerLength)
+	s.hasEncoding = s.hasEncoding || strings.EqualFold(name, headerEncoding)
+	return nil
+}
+
+// checkFraming returns an error unless every reader of the section finds the same end of the body.
+func (s *headScanner) checkFraming() error {
+	switch {
+	case s.trailer && (s.hasLength || s.hasEncoding):
+		return fmt.Errorf("%w: %s or %s in the trailer", ErrMalformed, headerLength, headerEncoding)
+	case s.hasLength && s.hasEncoding:
+		return fmt.Errorf("%w: both %s and %s", ErrMalformed, headerLength, headerEncoding)
+	case s.hasEncoding && s.minor == 0:
+		return fmt.Errorf("%w: %s in HTTP/1.0", ErrMalformed, headerEncoding)
+	}
+	return nil
 }
 
 // isInterim reports whether the section that has ended belongs to an interim response.
--- a/core/inspector/inspector.go
+++ b/core/inspector/inspector.go
@@ -1,7 +1,7 @@
 // Package inspector decides whether an HTTP response is well-formed and complete. Every program reads responses through it.
 //
-// A response is well-formed if its status line, its status and all fields of its header and its trailer are valid.
-// It is complete if it ended where the length or the last chunk says. A
+// A response is well-formed if its status line, its status and all fields of its header and its trailer are valid, and if
+// its header states its length in one way only. It is complete if it ended where the length or the last chunk says. A
 // response without either ends with its connection; only a reader that knows how the connection ended may accept it.
 package inspector
 
@@ -52,6 +52,16 @@
 	return checkField("Content-Type", contentType)
 }
 
+// checkTrailer returns an error if a field is invalid or states a length, which only a header may do.
+func checkTrailer(fields http.Header) error {
+	for _, name := range []string{headerLength, headerEncoding} {
+		if _, ok := fields[name]; ok {
+			return fmt.Errorf("%w: %s in the trailer", ErrMalformed, name)
+		}
+	}
+	return CheckFields(fields)
+}
+
 func checkField(name, value string) error {
 	if !httpguts.ValidHeaderFieldName(name) {
 		return fmt.Errorf("%w: field name %q", ErrMalformed, shorten(name))
--- a/core/inspector/inspector_test.go
+++ b/core/inspector/inspector_test.go
@@ -79,6 +79,8 @@
 		"cut off":         {"A: x\r\n", io.ErrUnexpectedEOF},
 		"missing":         {"", io.ErrUnexpectedEOF},
 		"blank in a name": {"A b: x\r\n\r\n", inspector.ErrMalformed},
+		"length":          {"content-length: 4\r\n\r\n", inspector.ErrMalformed},
+		"encoding":        {"Transfer-Encoding: chunked\r\n\r\n", inspector.ErrMalformed},
 		"too long":        {"A: " + strings.Repeat("x", inspector.MaxHeadBytes), inspector.ErrTooLarge},
 	} {
 		for pieces, r := range readers(c.text) {
--- a/core/inspector/transport.go
+++ b/core/inspector/transport.go
@@ -79,7 +79,7 @@
 	}
 	delimited := r.ProtoMajor > 1 || r.ContentLength >= 0 || slices.Contains(r.TransferEncoding, "chunked")
 	if !delimited && AllowsBody(r.Request.Method, r.StatusCode) {
-		return fmt.Errorf("%w: neither Content-Length nor chunked encoding", ErrMalformed)
+		return fmt.Errorf("%w: neither %s nor chunked encoding", ErrMalformed, headerLength)
 	}
 	return nil
 }
@@ -99,7 +99,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		if trailerErr := CheckFields(b.response.Trailer); trailerErr != nil {
+		if trailerErr := checkTrailer(b.response.Trailer); trailerErr != nil {
 			return n, trailerErr
 		}
 	}
--- a/core/inspector/transport_test.go
+++ b/core/inspector/transport_test.go
@@ -76,6 +76,7 @@
 		"blank in an interim response":     "HTTP/1.1 103 Hints\r\nA b: x\r\n\r\n" + ok + whole,
 		"blank in the trailer":             ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA b: x\r\n\r\n",
 		"continued field":                  ok + "A: x\r\n B: y\r\n" + whole,
+		"length and encoding":              ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"status 000":                       "HTTP/1.1 000 Trouble\r\n" + whole,
 		"status 600":                       "HTTP/1.1 600 Trouble\r\n" + whole,
 		"status 101":                       "HTTP/1.1 101 Switching Protocols\r\n" + whole,
--- a/daemon/courier/malformed_test.go
+++ b/daemon/courier/malformed_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// TestAmbiguousFraming guards against passing on a body whose end depends on which of two fields the reader follows.
+func TestAmbiguousFraming(t *testing.T) {
+	const id = "Id: 1\r\n"
+	for name, reply := range map[string]string{
+		"length and encoding":    "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"encoding in HTTP/1.0":   "HTTP/1.0 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"two lengths":            "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
+		"negative length":        "HTTP/1.1 200 OK\r\n" + id + "Content-Length: -4\r\n\r\nbody",
+		"length with a sign":     "HTTP/1.1 200 OK\r\n" + id + "Content-Length: +4\r\n\r\nbody",
+		"length too large":       "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 99999999999999999999\r\n\r\nbody",
+		"empty length":           "HTTP/1.1 200 OK\r\n" + id + "Content-Length:\r\n\r\nbody",
+		"unknown encoding":       "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: gzip\r\n\r\nbody",
+		"two encodings":          "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"folded encoding":        "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding:\r\n chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"malformed chunk length": "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n4x\r\nbody\r\n0\r\n\r\n",
+		"length in the trailer":  "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nContent-Length: 2\r\n\r\n",
+		"trailer cut off":        "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nSum: 1\r\n",
+		"header cut off":         "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 0\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { expectIncomplete(t, reply) })
+	}
+}
+
 // TestWellFormed guards against refusing a response that is unusual but valid.
 func TestWellFormed(t *testing.T) {
 	const start = "HTTP/1.1 200 OK\r\nId: 1\r\n"
--- a/daemon/forwarder/malformed_test.go
+++ b/daemon/forwarder/malformed_test.go
@@ -50,12 +50,15 @@
 		"no name":                              ok + ": x\r\n" + length,
 		"blank in an interim response":         "HTTP/1.1 103 Early Hints\r\nSome Field: x\r\n\r\n" + ok + length,
 		"blank in the trailer":                 ok + chunks + "Some Field: x\r\n\r\n",
+		"length in the trailer":                ok + chunks + "Content-Length: 2\r\n\r\n",
 		"status 000":                           "HTTP/1.1 000 Trouble\r\n" + length,
 		"status 099":                           "HTTP/1.1 099 Trouble\r\n" + length,
 		"status 101":                           "HTTP/1.1 101 Switching Protocols\r\n" + length,
 		"status 600":                           "HTTP/1.1 600 Trouble\r\n" + length,
 		"status with a sign":                   "HTTP/1.1 +20 Trouble\r\n" + length,
 		"other protocol":                       "HTTP/2.0 200 OK\r\n\r\npart",
+		"length and encoding":                  ok + "Content-Length: 4\r\n" + chunks + "\r\n",
+		"folded field":                         ok + "Field: x\r\n Content-Length: 2\r\n" + length,
 		"no length":                            ok + "\r\npart",
 	} {
 		run(t, name, 1, func(m *mesh) {
