Read responses between own processes through inspector

Addresses are used again, so the process that answers may be anything.

What operators saw: bluebellctl apply told a change as accepted, or as rejected by a conflict, on the word of a response with a malformed field or with a body that ended with its connection. What it does with malformed or cut-off responses else (status 000, a length that is not met) was right already. Members merged entries of a gossip reply of that kind. Daemons and controllers kept up to 10 MiB of a header without end, per connection, which is the default of net/http.

Frames of sessions and packets between controllers needed no change: WebSocket states their lengths, and CBOR refuses data that is cut off or followed by more.

--- a/bluebellctl/client.go
+++ b/bluebellctl/client.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"bluebellhoist/core/inspector"
 	"bluebellhoist/core/presenter"
 )
 
@@ -28,7 +29,8 @@
 
 func newClient(controllers []netip.AddrPort, requestTimeout time.Duration) *client {
 	// The transport ignores proxy settings in the environment, because a proxy could delay a change and deliver it late.
-	return &client{controllers: controllers, requestTimeout: requestTimeout, http: &http.Client{Transport: &http.Transport{}}}
+	transport := inspector.New(&http.Transport{})
+	return &client{controllers: controllers, requestTimeout: requestTimeout, http: &http.Client{Transport: transport}}
 }
 
 // response is the response of one controller, or the error if there was none.
--- a/controller/messenger/messenger.go
+++ b/controller/messenger/messenger.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/inspector"
 	"bluebellhoist/core/wire"
 )
 
@@ -56,7 +57,7 @@
 
 // WithDial sets the function that opens connections to peers.
 func WithDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
-	return func(m *Messenger) { m.client = &http.Client{Transport: &http.Transport{DialContext: dial}} }
+	return func(m *Messenger) { m.client = newClient(&http.Transport{DialContext: dial}) }
 }
 
 // WithLogger sets the logger.
@@ -68,7 +69,7 @@
 func New(opts ...Option) *Messenger {
 	m := &Messenger{
 		deliver:  func(wire.Packet) {},
-		client:   http.DefaultClient,
+		client:   newClient(&http.Transport{}),
 		log:      hclog.NewNullLogger(),
 		outgoing: make(chan outgoing, queueSize),
 	}
@@ -78,6 +79,10 @@
 	return m
 }
 
+func newClient(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: inspector.New(transport)}
+}
+
 // Send queues a packet for the peer at address to. It never blocks; packets may be lost.
 func (m *Messenger) Send(to netip.AddrPort, packet wire.Packet) {
 	select {
--- a/core/exchanger/exchanger.go
+++ b/core/exchanger/exchanger.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellhoist/core/encoder"
+	"bluebellhoist/core/inspector"
 	"bluebellhoist/core/wire"
 )
 
@@ -40,12 +41,12 @@
 
 // Exchanger sends and receives gossip.
 type Exchanger struct {
-	conn      *net.UDPConn
-	deliver   func(netip.AddrPort, []byte)
-	reply     func(wire.Gossip) wire.Gossip
-	transport *http.Transport
-	client    *http.Client
-	log       hclog.Logger
+	conn    *net.UDPConn
+	deliver func(netip.AddrPort, []byte)
+	reply   func(wire.Gossip) wire.Gossip
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error) // nil for TCP
+	client  *http.Client
+	log     hclog.Logger
 }
 
 // Option configures an Exchanger.
@@ -58,7 +59,7 @@
 
 // WithDial sets the function that opens connections for exchanges.
 func WithDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
-	return func(e *Exchanger) { e.transport.DialContext = dial }
+	return func(e *Exchanger) { e.dial = dial }
 }
 
 // WithDeliver sets the function that handles received datagrams.
@@ -78,15 +79,13 @@
 
 // New returns an exchanger. WithConn, WithDeliver and WithReply are required.
 func New(opts ...Option) *Exchanger {
-	e := &Exchanger{
-		log: hclog.NewNullLogger(),
-		// Each exchange uses a new connection, since the next one usually goes to another member.
-		transport: &http.Transport{DisableKeepAlives: true},
-	}
-	e.client = &http.Client{Transport: e.transport, Timeout: exchangeTimeout}
+	e := &Exchanger{log: hclog.NewNullLogger()}
 	for _, opt := range opts {
 		opt(e)
 	}
+	// Each exchange uses a new connection, since the next one usually goes to another member.
+	transport := inspector.New(&http.Transport{DisableKeepAlives: true, DialContext: e.dial})
+	e.client = &http.Client{Transport: transport, Timeout: exchangeTimeout}
 	return e
 }
 
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -15,6 +15,7 @@
 
 	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/framer"
+	"bluebellhoist/core/inspector"
 	"bluebellhoist/core/wire"
 )
 
@@ -54,9 +55,9 @@
 func (s *Subscriber) serveSession(ctx context.Context, to Controller, noReferral bool) (bool, error) {
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
 	defer cancelDial()
-	transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+	transport := inspector.New(&http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return s.dial(ctx, to.Addr)
-	}}
+	}})
 	defer transport.CloseIdleConnections()
 	opts := &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}}
 	conn, _, err := websocket.Dial(dialCtx, "ws://"+to.Addr.String()+"/v1/session", opts)
