Refuse service calls that may outlast a planned stop

Service calls were not: a stopping daemon took them until it closed its listener, which it does only once none is in progress, so that callers that keep calling are served to the very end of the grace and the last calls are cut by the exit.

Evidence: TestLateInStop with the new check disabled passes on a call that arrives 4 s into a stop of 5 s and may take 4 s ("status 200, want 503, not-run"), one that arrives at its beginning and may take 10 s, and one whose body arrives during the stop.

Fix: from the beginning of the stop, the forwarder refuses a service call whose deadline lies after the end of the stop, as not run, and closes its connection. Whatever it accepts ends in time, by its deadline at the latest; no share of the grace is involved. Calls of a run are accepted still: they are part of a call in progress, which a refusal would fail.

--- a/daemon/forwarder/call.go
+++ b/daemon/forwarder/call.go
@@ -42,6 +42,9 @@
 	if errAnswer := c.readHeader(r.Header, now); errAnswer != nil {
 		return nil, errAnswer
 	}
+	if f.outlastsStop(c.deadline, r.Header) {
+		return nil, errorResponse(http.StatusServiceUnavailable, OutcomeNotRun, "the daemon is stopping")
+	}
 	if !c.service.Once {
 		return c, nil
 	}
--- a/daemon/forwarder/egress.go
+++ b/daemon/forwarder/egress.go
@@ -22,9 +22,7 @@
 func (f *Forwarder) serveEgress(w http.ResponseWriter, r *http.Request) {
 	draining := f.inFlight.begin()
 	defer f.inFlight.end()
-	if draining {
-		w.Header().Set("Connection", "close")
-	}
+	f.closeIfStopping(w, draining)
 	started := time.Now()
 	c, errAnswer := f.admitEgress(r, started)
 	if errAnswer != nil {
@@ -44,7 +42,8 @@
 		f.writeErrorResponse(w, r, "egress", held.bodyError(err))
 		return
 	}
-	// The configuration may have changed while the body arrived.
+	// The configuration may have changed, or a planned stop may have begun, while the body arrived.
+	f.closeIfStopping(w, draining)
 	current, errAnswer := f.admitEgress(r, started)
 	if errAnswer != nil {
 		f.writeErrorResponse(w, r, "egress", errAnswer)
@@ -55,6 +54,13 @@
 	d.serve(w)
 }
 
+// closeIfStopping closes the connection after the response if the daemon is stopping, so that its caller uses another one.
+func (f *Forwarder) closeIfStopping(w http.ResponseWriter, draining bool) {
+	if draining || f.stopBy.Load() != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // serve authorizes the call, takes its token, sends it and writes the response.
 func (d *delivery) serve(w http.ResponseWriter) {
 	f, c, r := d.f, d.call, d.request
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -108,6 +109,7 @@
 	pool            currentPool
 	budgets         retryBudgets
 	inFlight        callTracker
+	stopBy          atomic.Pointer[time.Time] // when a planned stop ends; nil if none has begun
 }
 
 // Option configures a Forwarder.
@@ -258,6 +260,18 @@
 	return http.HandlerFunc(f.serveIngress)
 }
 
+// StopBy makes the egress side refuse calls that may last beyond the given time, because the process ends then.
+func (f *Forwarder) StopBy(end time.Time) {
+	f.stopBy.Store(&end)
+}
+
+// outlastsStop reports whether a call may last beyond the end of a planned stop. A call that a run makes belongs to a call in
+// progress, which a refusal would fail for certain.
+func (f *Forwarder) outlastsStop(deadline time.Time, h http.Header) bool {
+	end := f.stopBy.Load()
+	return end != nil && deadline.After(*end) && h.Get(HeaderAttempt) == ""
+}
+
 // Drain makes the ingress side refuse new calls and waits until the calls in flight have ended.
 func (f *Forwarder) Drain(ctx context.Context) error {
 	return f.inFlight.drain(ctx)
--- a/daemon/runner/stop.go
+++ b/daemon/runner/stop.go
@@ -60,6 +60,9 @@
 	defer cancel()
 	r.stopping.Store(true)
 	r.pipeliner.Drain()
+	if end, ok := ctx.Deadline(); ok {
+		r.forwarder.StopBy(end)
+	}
 	refuseTimer := time.AfterFunc(plan.refuse, func() { r.refusingCalls.Store(true) })
 	defer refuseTimer.Stop()
 	waiter.SleepCompleted(ctx, plan.leave)
