Refuse reports and entries that no upstream can send

Nothing here ends a process: nesting, numbers beyond 64 bits, ports out of range and bytes that are not text were refused (cases of TestOddHeartbeat and TestRejects that passed before stay). But numbers that fit into 64 bits were taken:

- a start time in nanoseconds made the daemon treat all later reports of the VM's upstream as those of an earlier process.
With a leave, the other members kept it as a departure, so that a restart of the daemon did not help;
- the largest sequence number is the mark of a final departure, with the same effect on the process that it names;
- 2^63-1 slots were announced to all members, and the limit of calls in progress with them;
- the platform's heartbeats took port 0, unspecified and multicast addresses, and any name for a service.
A name of more than 64 bytes makes the other members ignore the entry of the daemon.

Cause: the product's own interface checked most of this, the platform's heartbeats reached the announcer unchecked, and members took any number from each other.

Fix: the announcer checks every report, from whatever interface, and refuses it before it changes anything (400). Members ignore entries beyond the same bounds and take the others of the message. Bounds: 65,536 slots as before, a start time before the year 2248, a sequence number up to 2^53, beyond which JSON numbers are not exact.

--- a/core/gossiper/datagram.go
+++ b/core/gossiper/datagram.go
@@ -61,7 +61,8 @@
 		return false
 	}
 	return m.Name != "" && len(m.Name) <= maxNameLength && len(m.Domain) <= maxNameLength && len(m.Service) <= maxNameLength &&
-		m.Addr.IsValid() && m.Addr.Port() != 0 && m.Incarnation > 0 && m.Incarnation < maxIncarnation && m.Slots >= 0 && m.Gone.Start >= 0
+		m.Addr.IsValid() && m.Addr.Port() != 0 && m.Incarnation > 0 && m.Incarnation < maxIncarnation &&
+		m.Slots >= 0 && m.Slots <= wire.MaxSlots && m.Since <= wire.MaxStart && m.Gone.Start >= 0 && m.Gone.Start <= wire.MaxStart
 }
 
 // entrySize returns the number of bytes that an entry takes in a datagram.
--- a/daemon/announcer/announcer_test.go
+++ b/daemon/announcer/announcer_test.go
@@ -87,6 +87,12 @@
 		{"slots 0", `20`, `0`, "slots 0 must be from 1"},
 		{"slots text", `20`, `"20"`, "slots cannot be a string"},
 		{"conns", `130`, `-1`, "conns -1 must be from 1"},
+		{"port out of range", `:9000`, `:70000`, `address "127.0.0.1:70000"`},
+		{"slots too large", `20`, `9223372036854775807`, "slots 9223372036854775807 must be from 1"},
+		{"slots beyond 64 bits", `20`, `99999999999999999999`, "slots cannot be a number"},
+		{"deeply nested", `20`, strings.Repeat("[", 20_000), "exceeded max depth"},
+		{"start in nanoseconds", `"slots"`, `"start": 1700000000000000000, "slots"`, "start 1700000000000000000 must be"},
+		{"seq of 64 bits", `"slots"`, `"seq": 18446744073709551615, "slots"`, "seq 18446744073709551615 must be"},
 		{"too long", `payout`, strings.Repeat("a", 1<<17), "too large"},
 	}
 	for _, c := range cases {
@@ -264,11 +270,22 @@
 			is.Equal(f.memberEntry().Ready, tt.code == http.StatusNoContent)
 		})
 	}
-	t.Run("not a number", func(t *testing.T) {
-		w := httptest.NewRecorder()
-		newFixture().ServeHTTP(w, httptest.NewRequest(http.MethodDelete, "/v1/upstream?seq=x", nil))
-		is.New(t).Equal(w.Code, http.StatusBadRequest)
-	})
+	for name, query := range map[string]string{
+		"not a number":         "seq=x",
+		"start in nanoseconds": "start=1700000000000000000&seq=7",
+		"negative start":       "start=-1&seq=7",
+		"seq of 64 bits":       "start=1000&seq=18446744073709551615",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			is.Equal(f.put(validBody), http.StatusNoContent)
+			w := httptest.NewRecorder()
+			f.ServeHTTP(w, httptest.NewRequest(http.MethodDelete, "/v1/upstream?"+query, nil))
+			is.Equal(w.Code, http.StatusBadRequest)
+			is.True(f.memberEntry().Ready) // the upstream has not left
+		})
+	}
 }
 
 // TestUnnumberedLeave guards against a leave without a number that makes the daemon forget the number of an earlier one, so
--- a/daemon/announcer/api.go
+++ b/daemon/announcer/api.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"regexp"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -21,12 +20,9 @@
 const (
 	upstreamPath = "/v1/upstream"
 	maxBodyBytes = 64 << 10
-	maxSlots     = 1 << 16
 	maxConns     = 1 << 16
 )
 
-var serviceNamePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-
 // announcement is the body of a PUT request. The address is a string so that an error can name the field.
 type announcement struct {
 	Service string `json:"service"`
@@ -76,6 +72,9 @@
 	if err := echo.QueryParamsBinder(c).Int64("start", &n.start).Uint64("seq", &n.seq).BindError(); err != nil {
 		return c.JSON(http.StatusBadRequest, errorResponse{"start and seq must be numbers: " + err.Error()})
 	}
+	if err := checkSequence(n); err != nil {
+		return c.JSON(http.StatusBadRequest, errorResponse{err.Error()})
+	}
 	if err := a.leave(c.Request().Context(), n); err != nil {
 		return c.JSON(http.StatusServiceUnavailable, errorResponse{err.Error()})
 	}
@@ -104,20 +103,16 @@
 	addr, err := netip.ParseAddrPort(in.Address)
 	addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
 	switch {
-	case !serviceNamePattern.MatchString(in.Service):
-		return wire.Upstream{}, 0, fmt.Errorf("%w: service %q must match %s", ErrInvalid, in.Service, serviceNamePattern)
-	case err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast():
+	case err != nil:
 		return wire.Upstream{}, 0, fmt.Errorf("%w: address %q must be the IP address and port of the upstream", ErrInvalid, in.Address)
-	case in.Slots < 1 || in.Slots > maxSlots:
-		return wire.Upstream{}, 0, fmt.Errorf("%w: slots %d must be from 1 to %d", ErrInvalid, in.Slots, maxSlots)
 	case in.Conns < 1 || in.Conns > maxConns:
 		return wire.Upstream{}, 0, fmt.Errorf("%w: conns %d must be from 1 to %d", ErrInvalid, in.Conns, maxConns)
-	case in.Start < 0:
-		return wire.Upstream{}, 0, fmt.Errorf("%w: start %d must be milliseconds since the Unix epoch", ErrInvalid, in.Start)
 	}
-	return wire.Upstream{
-		Service: in.Service, Address: addr, Slots: in.Slots, Conns: in.Conns, Start: in.Start, ID: in.ID,
-	}, in.Seq, nil
+	u := wire.Upstream{Service: in.Service, Address: addr, Slots: in.Slots, Conns: in.Conns, Start: in.Start, ID: in.ID}
+	if err := errors.Join(checkUpstream(u), checkSequence(sequence{in.Start, in.Seq})); err != nil {
+		return wire.Upstream{}, 0, err
+	}
+	return u, in.Seq, nil
 }
 
 // decodeError wraps an error of the decoder in ErrInvalid and names the field if the decoder does.
--- a/daemon/announcer/report.go
+++ b/daemon/announcer/report.go
@@ -24,6 +24,14 @@
 	Final    bool   // further reports of this process are stale
 }
 
+// check returns an error if the report is not one that an upstream can send. A final report only names its process.
+func (r Report) check() error {
+	if err := checkSequence(sequence{r.Upstream.Start, r.Seq}); err != nil || r.Final {
+		return err
+	}
+	return checkUpstream(r.Upstream)
+}
+
 // reportID identifies a report and orders it among the reports of the upstream.
 type reportID struct {
 	id      string
@@ -54,6 +62,9 @@
 // Report applies a status report. After it returns without an error, no new call is sent to an upstream that reported its
 // leave, even if the daemon is restarted.
 func (a *Announcer) Report(ctx context.Context, r Report) error {
+	if err := r.check(); err != nil {
+		return err
+	}
 	err := a.apply(r, time.Now())
 	if !r.Leaving || err != nil && !errors.Is(err, ErrStale) {
 		return err
