--- a/daemon/announcer/announcer_test.go
+++ b/daemon/announcer/announcer_test.go
@@ -93,6 +93,7 @@
 		{"deeply nested", `20`, strings.Repeat("[", 20_000), "exceeded max depth"},
 		{"start in nanoseconds", `"slots"`, `"start": 1700000000000000000, "slots"`, "start 1700000000000000000 must be"},
 		{"seq of 64 bits", `"slots"`, `"seq": 18446744073709551615, "slots"`, "seq 18446744073709551615 must be"},
+		{"line break in the id", `"slots"`, `"id": "i\r\nX: y", "slots"`, "must be valid in a header"},
 		{"too long", `payout`, strings.Repeat("a", 1<<17), "too large"},
 	}
 	for _, c := range cases {
