--- a/core/inspector/head.go
+++ b/core/inspector/head.go
@@ -25,9 +25,9 @@
 
 // headScanner checks header sections or a trailer while their bytes arrive.
 type headScanner struct {
-	trailer bool // there is no status line
-	size    int  // bytes of all sections so far
-	line    []byte
+	trailer bool   // there is no status line
+	size    int    // bytes of all sections so far
+	line    []byte // what has arrived of the current line
 
 	// Of the current section.
 	lines       int
--- a/daemon/courier/client.go
+++ b/daemon/courier/client.go
@@ -43,7 +43,7 @@
 	dial        func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	dialTimeout time.Duration
 	now         func() time.Time
-	memory      bodyMemory
+	memory      responseMemory
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
@@ -57,8 +57,8 @@
 	return func(c *Client) { c.dial, c.dialTimeout = dial, timeout }
 }
 
-// WithMemory sets how many bytes the bodies of responses may take in total while they are read. The default is derived
-// from the memory limit of the process. Bodies are buffered as a whole, so that no truncated response is passed on.
+// WithMemory sets how many bytes responses may take in total while they are read, apart from small ones. The default is
+// derived from the memory limit of the process. Bodies are buffered as a whole, so that no truncated response is passed on.
 func WithMemory(bytes int64) Option {
 	return func(c *Client) { c.memory.available.Store(bytes) }
 }
@@ -95,7 +95,7 @@
 type conn struct {
 	net.Conn
 	r         *bufio.Reader
-	memory    *bodyMemory
+	memory    *responseMemory
 	idleLimit time.Duration // idle time after which the connection is not reused
 	idleSince time.Time     // when the connection became idle
 	reused    bool          // the connection has carried a call before
