--- a/core/inspector/inspector.go
+++ b/core/inspector/inspector.go
@@ -1,4 +1,5 @@
-// Package inspector decides whether an HTTP response is well-formed and complete. Every program reads responses through it.
+// Package inspector decides whether an HTTP response is well-formed and complete. Controllers, daemons and bluebellctl read
+// responses through it.
 //
 // A response is well-formed if its status line, its status and all fields of its header and its trailer are valid, and if
 // its header states its length in one way only. It is complete if it ended where the length or the last chunk says. A
--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -27,7 +27,8 @@
 	trailer  *http.Header  // filled when the body has been read to its end
 }
 
-// readAnswer buffers the start of a response that an inspector.Transport has returned. It closes the response if the whole body fits into the buffer.
+// readAnswer buffers the start of a response that an inspector.Transport has returned. It closes the response if the whole
+// body fits into the buffer.
 func readAnswer(resp *http.Response) (*answer, error) {
 	a := &answer{status: resp.StatusCode, header: resp.Header, trailer: &resp.Trailer}
 	removeHopByHop(a.header)
