review: show that the log is lost when a disk fails after a planned replacement (case 6)

Cause: a controller that stops for good keeps its vote until it has been silent for 2.5 s, and its successor stays a learner so long.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,6 +24,7 @@
 	"unnumbered-ping": unnumberedPing,
 	"all-killed":      allKilled,
 	"unreadable":      unreadableConfig,
+	"disk-lost":       diskLostAfterReplacement,
 }
 
 func main() {
--- a/review/standin-2/mesh.go
+++ b/review/standin-2/mesh.go
@@ -56,7 +56,8 @@
 	folder   string // temporary
 	core     []*machine
 	sidecars []*machine
-	extra    string // further lines of all settings
+	spare    *machine // a core machine that is added later
+	extra    string   // further lines of all settings
 }
 
 // newMesh prepares a mesh with one sidecar machine for each service. Nothing runs yet.
@@ -80,6 +81,7 @@
 				name: fmt.Sprintf("sidecar-%d", i+1), ip: fmt.Sprint(base, i+11), role: "daemon", service: service,
 			})
 		}
+		m.spare = &machine{name: "core-4", ip: fmt.Sprint(base, 4), role: "controller"}
 		if m.portsFree() {
 			return m, nil
 		}
@@ -93,7 +95,7 @@
 
 // portsFree reports whether all ports of all machines can be bound.
 func (m *mesh) portsFree() bool {
-	for _, v := range m.machines() {
+	for _, v := range append(m.machines(), m.spare) {
 		for _, port := range []int{readyPort, controlPort, appPort, inboundPort, outboundPort, metricsPort, firstPort, firstPort + 1, lastPort} {
 			l, err := net.Listen("tcp", v.addr(port))
 			if err != nil {
@@ -191,7 +193,7 @@
 
 // end ends all processes that still run and removes the temporary folder.
 func (m *mesh) end() {
-	for _, v := range m.machines() {
+	for _, v := range append(m.machines(), m.spare) {
 		if v.cmd != nil {
 			_ = v.cmd.Process.Kill()
 			<-v.exited
