--- a/review/standin-2/leave.go
+++ b/review/standin-2/leave.go
@@ -24,6 +24,7 @@
 	group      sync.WaitGroup
 	mu         sync.Mutex
 	state      string // what the first backend reports; empty for nothing
+	paused     bool   // no backend reports
 }
 
 // startDesk starts the mesh, its configuration, backends and requesters, and returns when both machines are in touch and serve.
@@ -65,7 +66,10 @@
 func (d *deskMesh) stateOf(i int) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if i == 0 {
+	switch {
+	case d.paused:
+		return ""
+	case i == 0:
 		return d.state
 	}
 	return "ready"
@@ -77,6 +81,13 @@
 	d.state = state
 }
 
+// setPause stops the pings of all backends, or lets them go on.
+func (d *deskMesh) setPause(paused bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paused = paused
+}
+
 func (d *deskMesh) stop() {
 	d.cancel()
 	d.group.Wait()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,6 +25,7 @@
 	"all-killed":      allKilled,
 	"unreadable":      unreadableConfig,
 	"disk-lost":       diskLostAfterReplacement,
+	"shut-out":        shutOut,
 }
 
 func main() {
