--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -33,6 +33,7 @@
 	recovered    <-chan struct{} // nil if nothing is recovered
 	drain        func(context.Context) error
 	hasService   func(string) bool
+	isConfigured func() bool
 	lifetime     time.Duration
 	log          hclog.Logger
 
@@ -78,6 +79,11 @@
 	return func(a *Announcer) { a.hasService = has }
 }
 
+// WithConfigured sets the function that reports whether there is a configuration yet.
+func WithConfigured(configured func() bool) Option {
+	return func(a *Announcer) { a.isConfigured = configured }
+}
+
 // WithDrain sets the function that waits until no call to the upstream is in flight.
 func WithDrain(drain func(context.Context) error) Option {
 	return func(a *Announcer) { a.drain = drain }
@@ -100,6 +106,7 @@
 		confirm:      func(context.Context) error { return nil },
 		drain:        func(context.Context) error { return nil },
 		hasService:   func(string) bool { return true },
+		isConfigured: func() bool { return true },
 		lifetime:     DefaultLifetime,
 		log:          hclog.NewNullLogger(),
 	}
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -53,6 +53,7 @@
 		announcer.WithConfirm(r.gossiper.Confirm),
 		announcer.WithRecovered(r.gossiper.Recovered()),
 		announcer.WithServices(r.hasService),
+		announcer.WithConfigured(func() bool { return r.subscriber.Snapshot() != nil }),
 		announcer.WithDrain(r.drainUpstream),
 		announcer.WithLifetime(announcementLifetime(s)),
 		announcer.WithLogger(r.log.Named("announcer")),
