--- a/daemon/announcer/order_test.go
+++ b/daemon/announcer/order_test.go
@@ -95,3 +95,16 @@
 	is.True(errors.Is(a.Report(t.Context(), reportOf("r", "i", 10, 9, false)), announcer.ErrStale))
 	requireReady(t, a, "j")
 }
+
+// TestIncompleteReport guards against a report that lacks its id, start time or number. It could not be told from a later
+// one after a leave.
+func TestIncompleteReport(t *testing.T) {
+	is := is.New(t)
+	a, _ := memberOf()
+	is.NoErr(a.Report(t.Context(), newReport("i", 10, 4, false)))
+	is.NoErr(a.Report(t.Context(), newReport("i", 10, 6, true)))
+	for _, r := range []announcer.Report{newReport("", 10, 7, false), newReport("i", 0, 7, false), newReport("i", 10, 0, false)} {
+		is.True(errors.Is(a.Report(t.Context(), r), announcer.ErrInvalid))
+		requireReady(t, a, "")
+	}
+}
--- a/daemon/announcer/report.go
+++ b/daemon/announcer/report.go
@@ -23,11 +23,15 @@
 	Final    bool   // further reports of this process are stale
 }
 
-// check returns an error if the report is not one that an upstream can send. A final report only names its process.
+// check returns an error if the report is not one that an upstream can send. A final report only names its process. All others
+// must be complete: without a start time or a number it would be unknown whether they are newer than a leave.
 func (r Report) check() error {
 	if err := checkSequence(sequence{r.Upstream.Start, r.Seq}); err != nil || r.Final {
 		return err
 	}
+	if r.Upstream.ID == "" || r.Upstream.Start == 0 || r.Seq == 0 {
+		return fmt.Errorf("%w: id %.80q, start %d and seq %d are all required", ErrInvalid, r.Upstream.ID, r.Upstream.Start, r.Seq)
+	}
 	return checkUpstream(r.Upstream)
 }
 
