Hand over the vote of a controller that stops as planned

One of three controllers was replaced as planned, its successor first. When another one lost its disk a second later, no election succeeded again: the acknowledged configuration could be neither read nor changed.

Cause: a planned stop transferred the leadership but not the vote. The successor stayed a learner until the old voter had been silent for 2.5 s, so the log needed both remaining voters, one of which had lost its disk.

The simulation of the log plays planned stops with crashes, lost disks, and a leader that fails between the two changes.

Fix: a stopping voter asks the leader to replace it. The leader promotes a learner and then demotes the sender, each as a change of one voter. Without a learner the vote is kept, since two voters of three could not lose a disk before the third is back. Learners that are silent for a minute leave the membership.

--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -21,12 +21,15 @@
 	startElectionSpreadTicks = 6  // wide enough that nodes which start together seldom split the vote
 	retryElectionTicks       = 4  // a candidate retries after 0.2-0.6 s, since the other nodes have no leader either
 	retryElectionSpreadTicks = 8
-	sameAddrReplaceTicks     = 20  // 1 s of silence until a node is replaced by a new identity at its address
-	replaceTicks             = 200 // 10 s of silence until a node is replaced by a new identity at another address
-	replaceVoterTicks        = 50  // 2.5 s of silence until a learner replaces a voter
-	joinRetryTicks           = 20  // 1 s between join requests
-	formerLeaderTicks        = 10  // 500 ms to wait for the reply of a leader that was replaced
-	replyTimeoutTicks        = 60  // 3 s: longer than any election timeout, so a partitioned leader has stepped down
+	sameAddrReplaceTicks     = 20   // 1 s of silence until a node is replaced by a new identity at its address
+	replaceTicks             = 200  // 10 s of silence until a node is replaced by a new identity at another address
+	replaceVoterTicks        = 50   // 2.5 s of silence until a learner replaces a voter
+	joinRetryTicks           = 20   // 1 s between join requests
+	removeLearnerTicks       = 1200 // 1 min of silence until a learner is removed; it joins again when it is back
+	leaveRetryTicks          = 2    // 100 ms between requests of a voter that leaves
+	leaveRequestTicks        = 20   // 1 s for which a leader honours such a request, so that it lapses if the node restarts
+	formerLeaderTicks        = 10   // 500 ms to wait for the reply of a leader that was replaced
+	replyTimeoutTicks        = 60   // 3 s: longer than any election timeout, so a partitioned leader has stepped down
 )
 
 // Limits of replication.
@@ -61,6 +64,7 @@
 	reads     []uint64 // request IDs
 	cancelled []uint64 // IDs of proposals and reads whose callers no longer wait
 	transfer  bool
+	leave     bool // the node stops as planned and hands over its vote
 }
 
 // output is what the runtime does after a step, in this order: send beforeSync, store joinedCluster, persist install
@@ -102,6 +106,8 @@
 	nextJoin         uint64
 	grantedVotes     map[string]bool // by voter
 
+	leave leaveState
+
 	peers            map[string]*peer // by node ID; leader only
 	lastRound        uint64           // number of the last heartbeat round
 	pendingRounds    []heartbeatRound // rounds that no majority has acknowledged yet
@@ -159,6 +165,9 @@
 	if in.transfer {
 		c.startTransfer()
 	}
+	if in.leave {
+		c.startLeave()
+	}
 	if in.ticks > 0 {
 		c.runTimers()
 	}
@@ -219,6 +228,7 @@
 	c.resendProposals()
 	c.resendReads()
 	c.joinIfLeaderless()
+	c.requestLeave()
 	if c.role == leader {
 		c.runLeaderTimers()
 		return
@@ -267,6 +277,10 @@
 	switch p.Kind {
 	case kindPreVote:
 		c.onPreVote(p)
+	case kindLeave:
+		c.onLeave(p)
+	case kindLeaveReply:
+		c.onLeaveReply(p)
 	case kindPropose:
 		c.onPropose(p)
 	case kindProposeReply:
--- a/controller/replicator/election.go
+++ b/controller/replicator/election.go
@@ -176,7 +176,7 @@
 	var best *peer
 	for _, n := range c.log.nodes {
 		p := c.peers[n.ID]
-		if p == nil || !n.Voter || !c.isActive(p) || best != nil && p.matchIndex <= best.matchIndex {
+		if p == nil || !n.Voter || !c.isActive(p) || c.isLeaving(n.ID) || best != nil && p.matchIndex <= best.matchIndex {
 			continue
 		}
 		best = p
--- a/controller/replicator/errors.go
+++ b/controller/replicator/errors.go
@@ -11,6 +11,8 @@
 	ErrUnavailable = errors.New("no majority confirmed the read")
 	// ErrTransfer reports that leadership was not transferred to another voter.
 	ErrTransfer = errors.New("leadership was not transferred")
+	// ErrNoSuccessor reports that no other node has taken over the vote of this one, which thus still counts.
+	ErrNoSuccessor = errors.New("vote was not handed over")
 	// ErrStopped reports a call on a replicator that has stopped.
 	ErrStopped = errors.New("replicator has stopped")
 	// ErrStorage reports that the durable state could not be written. The node must stop.
--- a/controller/replicator/faults_test.go
+++ b/controller/replicator/faults_test.go
@@ -45,6 +45,7 @@
 		name                             string
 		nodes, maxVoters, domains        int
 		loss, crash, partition, lostDisk int
+		leave                            int
 		skew                             bool
 	}{
 		{name: "loss and reordering", nodes: 3, loss: 10},
@@ -54,6 +55,8 @@
 		{name: "lost disks, each right after the previous one was repaired", nodes: 3, lostDisk: 100_000},
 		{name: "everything", nodes: 5, loss: 5, crash: 20, partition: 40, lostDisk: 100_000},
 		{name: "everything, ten nodes and at most five voters", nodes: 10, maxVoters: 5, domains: 5, loss: 5, crash: 20, partition: 40, lostDisk: 100_000},
+		{name: "planned stops, four nodes and at most three voters", nodes: 4, maxVoters: 3, loss: 2, leave: 200},
+		{name: "planned stops, crashes and lost disks, seven nodes and at most five voters", nodes: 7, maxVoters: 5, loss: 2, crash: 20, lostDisk: 100_000, leave: 100},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -62,12 +65,13 @@
 					is := is.New(t)
 					s := newSim(t, c.nodes, seed, func(s *sim) { s.maxVoters, s.domainCount = c.maxVoters, c.domains })
 					is.True(s.heal()) // the cluster forms
-					s.faultsOff, s.skew, s.loss, s.crash, s.partition, s.lostDisk = false, c.skew, c.loss, c.crash, c.partition, c.lostDisk
+					s.faultsOff, s.skew, s.loss, s.crash, s.partition, s.lostDisk, s.leave = false, c.skew, c.loss, c.crash, c.partition, c.lostDisk, c.leave
 					s.run(20_000)
 					is.True(s.heal())                                 // the cluster recovers
 					is.True(s.ackCount > 100 && s.barrierCount > 100) // the run exercised the cluster
 					is.True(s.skew || s.currentClaims > 1000)
 					is.True(c.lostDisk == 0 || s.replacedDisks > 1 && s.installCount > 0)
+					is.True(c.leave == 0 || s.handedOver > 1)
 				})
 			}
 		})
--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -40,6 +40,7 @@
 	c.resetElectionTimer()
 	c.peers = map[string]*peer{}
 	c.pendingRounds, c.leaderReads, c.transferTarget = nil, nil, ""
+	c.leave.requests = map[string]uint64{}
 	c.quorumTick, c.hasQuorumTick, c.nextHeartbeat = c.tick, true, c.tick
 	c.syncPeers()
 	c.appendEntry(wire.Entry{})
--- a/controller/replicator/members.go
+++ b/controller/replicator/members.go
@@ -100,8 +100,8 @@
 	c.setNode(node)
 }
 
-// maintainMembership makes at most one change: it removes a lost node, corrects a failure domain, or promotes or
-// demotes a node.
+// maintainMembership makes at most one change: it removes a lost node, corrects a failure domain, replaces a voter that
+// leaves, or promotes or demotes a node.
 func (c *core) maintainMembership() {
 	if !c.canChangeMembership() {
 		return
@@ -114,6 +114,13 @@
 		c.setNode(n)
 		return
 	}
+	if v, ok := c.leavingVoter(); ok && c.replaceLeavingVoter(v) {
+		return
+	}
+	if c.maxVoters > 0 && c.voterCount() > c.maxVoters {
+		c.demoteSurplusVoter()
+		return
+	}
 	n, ok := c.nextVoter()
 	if !ok {
 		return
@@ -155,14 +162,18 @@
 	return wire.Node{}, false
 }
 
-// staleLearner returns a silent learner that has the same name as a live node. A delayed join request can add an
-// identity again after it was replaced.
+// staleLearner returns a silent learner that has the same name as a live node, since a delayed join request can add an
+// identity again after it was replaced, or one that has been silent for long, such as a former voter that was stopped for
+// good.
 func (c *core) staleLearner() (wire.Node, bool) {
 	for _, n := range c.log.nodes {
 		p := c.peers[n.ID]
 		if p == nil || n.Voter || c.tick-p.lastActive < replaceTicks {
 			continue
 		}
+		if c.tick-p.lastActive >= removeLearnerTicks {
+			return n, true
+		}
 		if other, ok := c.sameNameNode(n); ok && (other.ID == c.self.ID || c.isActive(c.peers[other.ID])) {
 			return n, true
 		}
--- a/controller/replicator/packet.go
+++ b/controller/replicator/packet.go
@@ -22,6 +22,8 @@
 	kindRead                = "read" // asks for an index that covers every acknowledged commit
 	kindReadReply           = "read-reply"
 	kindTransfer            = "transfer" // the leader asks the receiver to take over leadership
+	kindLeave               = "leave"    // a voter that stops as planned asks for another one in its place
+	kindLeaveReply          = "leave-reply"
 )
 
 // outgoing is a packet with its destination address.
--- a/controller/replicator/placement.go
+++ b/controller/replicator/placement.go
@@ -32,6 +32,25 @@
 	return wire.Node{}, false
 }
 
+// demoteSurplusVoter demotes the voter that was heard of least recently. There is one voter too many if the leader that was
+// replacing a leaving voter failed in between.
+func (c *core) demoteSurplusVoter() {
+	var surplus wire.Node
+	var oldest uint64
+	for _, n := range c.log.nodes {
+		if !n.Voter || n.ID == c.self.ID || !c.canRemove(n, 0) {
+			continue
+		}
+		if active := c.peers[n.ID].lastActive; surplus.ID == "" || active < oldest {
+			surplus, oldest = n, active
+		}
+	}
+	if surplus.ID != "" {
+		surplus.Voter = false
+		c.setNode(surplus)
+	}
+}
+
 // silentVoter returns a voter that has been silent for replaceVoterTicks, so that a learner may replace it.
 func (c *core) silentVoter() (wire.Node, bool) {
 	for _, n := range c.log.nodes {
@@ -42,10 +61,11 @@
 	return wire.Node{}, false
 }
 
+// votersInDomain returns the number of voters in a failure domain, without those that are about to leave.
 func (c *core) votersInDomain(domain string) int {
 	voters := 0
 	for _, n := range c.log.nodes {
-		if n.Voter && n.Domain == domain {
+		if n.Voter && n.Domain == domain && !c.isLeaving(n.ID) {
 			voters++
 		}
 	}
--- a/controller/replicator/replicator.go
+++ b/controller/replicator/replicator.go
@@ -52,6 +52,7 @@
 	pending      map[uint64]*request
 	appliedBytes int // data applied since the last checkpoint, without compression
 	transfers    []*request
+	leaves       []*request
 }
 
 // New returns a replicator that Run starts. A store, a node and the functions to send, apply, save and restore are
@@ -166,6 +167,7 @@
 	}
 	r.publishStatus()
 	r.completeTransfers()
+	r.completeLeaves()
 	return r.core.invariantErr
 }
 
--- a/controller/replicator/request.go
+++ b/controller/replicator/request.go
@@ -15,6 +15,7 @@
 	requestPropose requestKind = iota
 	requestRead
 	requestTransfer
+	requestLeave
 )
 
 // request is a call that waits for the goroutine of Run.
@@ -66,6 +67,17 @@
 	return resp.err
 }
 
+// Leave hands over the vote of this node to a learner, so that it no longer counts for the majority, and returns when that is
+// committed. Without a learner the node keeps its vote, and Leave returns ErrNoSuccessor. It is meant for a planned stop,
+// after Transfer; a node that leads again by then gets ErrTransfer.
+func (r *Replicator) Leave(ctx context.Context) error {
+	resp, err := r.call(&request{kind: requestLeave, ctx: ctx})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNoSuccessor, err)
+	}
+	return resp.err
+}
+
 func (r *Replicator) call(req *request) (response, error) {
 	req.done = make(chan response, 1)
 	select {
@@ -92,6 +104,11 @@
 		r.transfers = append(r.transfers, req)
 		return
 	}
+	if req.kind == requestLeave {
+		in.leave = true
+		r.leaves = append(r.leaves, req)
+		return
+	}
 	r.nextID++
 	r.pending[r.nextID] = req
 	if req.kind == requestRead {
@@ -131,3 +148,20 @@
 	}
 	r.transfers = nil
 }
+
+func (r *Replicator) completeLeaves() {
+	if len(r.leaves) == 0 || !r.core.leaveEnded() {
+		return
+	}
+	var err error
+	switch {
+	case r.core.role == leader:
+		err = ErrTransfer
+	case !r.core.hasLeft():
+		err = ErrNoSuccessor
+	}
+	for _, req := range r.leaves {
+		req.done <- response{err: err}
+	}
+	r.leaves = nil
+}
--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -11,7 +11,10 @@
 	"bluebellhoist/core/wire"
 )
 
-const stepsPerTick = 5
+const (
+	stepsPerTick  = 5
+	maxLeaveSteps = 40 * stepsPerTick // a planned stop takes less than this
+)
 
 // inFlightPacket is a packet that is delivered at dueStep.
 type inFlightPacket struct {
@@ -40,6 +43,7 @@
 	maxVoters                        int  // 0 for no limit
 	domainCount                      int  // failure domains, to which nodes are assigned in turn; 0 for one per node
 	loss, crash, partition, lostDisk int  // chances per 100,000 steps; loss per 100 packets
+	leave                            int  // chance per 100,000 steps of a planned stop
 	skew                             bool // node clocks run at different speeds
 	faultsOff                        bool
 
@@ -54,6 +58,7 @@
 	ackCount       int
 	barrierCount   int
 	replacedDisks  int
+	handedOver     int // planned stops at whose end the node had no vote
 	installCount   int
 }
 
@@ -127,6 +132,12 @@
 		s.replacedDisks++
 	}
 	for i, n := range s.nodes {
+		if n.stopStep > 0 && s.now >= n.stopStep {
+			if n.core != nil && n.core.leave.leaving && n.core.hasLeft() {
+				s.handedOver++
+			}
+			n.core, n.stopStep = nil, 0
+		}
 		if n.core == nil && s.rand.IntN(200) == 0 {
 			s.start(i)
 		}
--- a/controller/replicator/simnode_test.go
+++ b/controller/replicator/simnode_test.go
@@ -23,6 +23,7 @@
 	reads        map[uint64]uint64 // index that was acknowledged when the read began, by request ID
 	tickPeriod   int               // steps per tick; differs between nodes under clock skew
 	startStep    int               // step of the last start
+	stopStep     int               // step at which the node ends after a planned stop; 0 if none
 	wasLeader    bool
 	electionsWon uint64
 }
@@ -41,7 +42,7 @@
 	st.Entries = slices.Clone(st.Entries)
 	n.core = newCore(n.self, n.cluster, st, []netip.AddrPort{simAddr(0), simAddr(1)}, rand.New(rand.NewPCG(s.rand.Uint64(), 1)))
 	n.core.maxVoters = s.maxVoters
-	n.electionsWon = 0
+	n.electionsWon, n.stopStep = 0, 0
 	n.reads, n.digest, n.startStep, n.tickPeriod = map[uint64]uint64{}, 0, s.now, stepsPerTick
 	if s.skew {
 		n.tickPeriod = 2 + s.rand.IntN(10)
@@ -76,6 +77,10 @@
 		in.reads = append(in.reads, id)
 	}
 	in.transfer = s.chance(s.partition)
+	if n.stopStep == 0 && s.chance(s.leave) {
+		in.leave = true
+		n.stopStep = s.now + s.rand.IntN(maxLeaveSteps)
+	}
 	if len(in.packets)+len(in.proposals)+len(in.reads)+int(in.ticks) == 0 {
 		return
 	}
--- a/controller/runner/stop.go
+++ b/controller/runner/stop.go
@@ -5,9 +5,11 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"bluebellhoist/controller/replicator"
 )
 
-// stop transfers the leadership, leaves the gossip, tells the daemons to reconnect elsewhere, and waits for requests in
+// stop transfers the leadership and hands over the vote, leaves the gossip, tells the daemons to reconnect elsewhere, and waits for requests in
 // flight.
 func (r *Runner) stop(servers []*http.Server) error {
 	limit := stopLimit
@@ -17,9 +19,7 @@
 	r.log.Info("stopping", "limit", limit)
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if err := r.replicator.Transfer(ctx); err != nil {
-		r.log.Warn("leadership not transferred", "error", err)
-	}
+	r.handOver(ctx)
 	if r.gossiper != nil {
 		leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveLimit)
 		defer cancelLeave()
@@ -37,3 +37,27 @@
 	r.log.Info("stopped")
 	return shutdownErr
 }
+
+// handOver transfers the leadership, and gives the vote to another controller if there is one without a vote, so that this one
+// no longer counts for the majority.
+func (r *Runner) handOver(ctx context.Context) {
+	if err := r.replicator.Transfer(ctx); err != nil {
+		r.log.Warn("leadership not transferred", "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
+	err := r.replicator.Leave(ctx)
+	for errors.Is(err, replicator.ErrTransfer) { // this node was elected meanwhile
+		if err = r.replicator.Transfer(ctx); err == nil {
+			err = r.replicator.Leave(ctx)
+			continue
+		}
+		break
+	}
+	if err != nil {
+		r.log.Info("vote kept", "reason", err)
+		return
+	}
+	r.log.Info("vote handed over")
+}
