Store departures of upstreams in the replicated log

A deregistration was acknowledged, then all processes were killed at once and started again. A report from before the leave brought the upstream back, and it got calls for seconds.

Cause: the acknowledgement stood for the memory of gossip members only. docs/design/leave.md named the gap.

Fix: the replicated state holds the last departure of each upstream of each VM for 24 h. A leave is acknowledged once it is in the log, in the data folder if the daemon has one, and in gossip as before.

Related paths, mended with it: the departure of one upstream replaced that of another, an unknown process that deregistered without a start time was remembered by the daemon's process only, and the leave of an earlier process not at all. Design, bound and cost: docs/design/leave.md.

--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -1,4 +1,4 @@
-// Package distributor serves daemon sessions: it sends snapshots, deltas and heartbeats, and replies to claims.
+// Package distributor serves daemon sessions: it sends snapshots, deltas and heartbeats, and replies to claims and departures.
 package distributor
 
 import (
@@ -39,6 +39,7 @@
 	propose func(context.Context, wire.Command) (wire.Result, error)
 	barrier func(context.Context) error
 	view    func() *registrar.View
+	gone    func(daemon string) []wire.Departure
 	fresh   func() bool
 	referTo func(domain string) (netip.AddrPort, bool)
 	log     hclog.Logger
@@ -69,6 +70,11 @@
 	return func(d *Distributor) { d.view = view }
 }
 
+// WithDepartures sets the function that returns the departures of the upstreams on the VM of a daemon.
+func WithDepartures(gone func(daemon string) []wire.Departure) Option {
+	return func(d *Distributor) { d.gone = gone }
+}
+
 // WithFresh sets the function that reports whether this controller holds every acknowledged change but the most
 // recent ones. Daemons leave one that does not.
 func WithFresh(fresh func() bool) Option {
@@ -89,6 +95,7 @@
 // New returns a Distributor. WithPropose, WithBarrier, WithView and WithFresh are required.
 func New(opts ...Option) *Distributor {
 	d := &Distributor{
+		gone:     func(string) []wire.Departure { return nil },
 		referTo:  func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		log:      hclog.NewNullLogger(),
 		sessions: map[*session]struct{}{},
--- a/controller/distributor/distributor_test.go
+++ b/controller/distributor/distributor_test.go
@@ -45,6 +45,9 @@
 			if cmd.Claim != nil && cmd.Claim.Attempt == "lost" {
 				return wire.Result{}, errNoMajority
 			}
+			if cmd.Leave != nil {
+				return f.registrar.Apply(cmd), nil
+			}
 			return wire.Result{Verdict: &wire.Verdict{State: wire.Granted}}, nil
 		}),
 		distributor.WithBarrier(func(context.Context) error {
@@ -61,6 +64,7 @@
 			return nil
 		}),
 		distributor.WithView(f.registrar.View),
+		distributor.WithDepartures(f.registrar.Departures),
 		distributor.WithFresh(func() bool { return true }),
 		distributor.WithReferral(func(domain string) (netip.AddrPort, bool) { return referTarget, domain == "dalseong" }),
 	)
@@ -106,16 +110,11 @@
 	is.New(d.t).NoErr(d.conn.Write(d.t.Context(), websocket.MessageBinary, data))
 }
 
-// receive returns the next frame that is not a heartbeat.
+// receive returns the next frame that is neither a heartbeat nor the list of departures.
 func (d *fakeDaemon) receive() wire.Frame {
 	d.t.Helper()
 	for {
-		var frame wire.Frame
-		_, data, err := d.conn.Read(d.t.Context())
-		is.New(d.t).NoErr(err)
-		frame, err = framer.Decode(data)
-		is.New(d.t).NoErr(err)
-		if frame.Heartbeat == nil {
+		if frame := d.receiveAny(); frame.Heartbeat == nil && frame.Gone == nil {
 			return frame
 		}
 	}
@@ -130,11 +129,7 @@
 	f.applyChange(t, "1", "a")
 	d := f.connect(t, wire.Hello{Name: "d1", Barrier: true})
 	for range 2 { // while the barrier blocks
-		_, data, err := d.conn.Read(t.Context())
-		is.NoErr(err)
-		frame, err := framer.Decode(data)
-		is.NoErr(err)
-		is.True(frame.Heartbeat != nil)
+		is.True(d.receiveAny().Heartbeat != nil)
 	}
 	close(f.barrierGate)
 	is.True(d.receive().Full != nil)
--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -65,7 +65,7 @@
 	return err
 }
 
-// readLoop handles the daemon's frames and starts a proposal for each claim, release or finish.
+// readLoop handles the daemon's frames and starts a proposal for each claim, release, finish or departure.
 func (s *session) readLoop(ctx context.Context) error {
 	var proposals sync.WaitGroup
 	defer proposals.Wait()
@@ -94,23 +94,26 @@
 			if frame.Heartbeat.Ask != 0 {
 				s.distributor.prover.ask(s, frame.Heartbeat.Ask)
 			}
-		case frame.Claim != nil, frame.Release != nil, frame.Finish != nil:
+		case frame.Claim != nil, frame.Release != nil, frame.Finish != nil, frame.Leave != nil:
 			select {
 			case s.proposalSlots <- struct{}{}:
 			case <-ctx.Done():
 				return ctx.Err()
 			}
 			proposals.Go(func() {
-				s.handleClaim(ctx, frame)
+				s.handleRequest(ctx, frame)
 				<-s.proposalSlots
 			})
 		}
 	}
 }
 
-// handleClaim proposes the claim, release or finish in a frame and replies with its verdict.
-func (s *session) handleClaim(ctx context.Context, frame wire.Frame) {
+// handleRequest proposes the claim, release, finish or departure in a frame and replies with its verdict.
+func (s *session) handleRequest(ctx context.Context, frame wire.Frame) {
 	cmd := wire.Command{Claim: frame.Claim, Release: frame.Release, Finish: frame.Finish}
+	if hello := s.hello.Load(); frame.Leave != nil && hello != nil {
+		cmd.Leave = &wire.Leave{Name: hello.Name, Gone: *frame.Leave}
+	}
 	reply := wire.Frame{ID: frame.ID}
 	proposeCtx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
@@ -177,7 +180,7 @@
 }
 
 // handleHello waits for the barrier if the hello asks for one, confirms the session with a heartbeat and returns the version
-// that the daemon holds. Updates that were sent before no longer count: the daemon has rejected one of them.
+// that the daemon holds. After a barrier it first sends the departures of the daemon's VM. Updates that were sent before no longer count: the daemon has rejected one of them.
 func (s *session) handleHello(ctx context.Context, hello wire.Hello) (uint64, error) {
 	s.unacked = nil
 	if !hello.Barrier {
@@ -187,6 +190,9 @@
 		_ = s.conn.Send(ctx, wire.Frame{Error: "no majority: " + err.Error()})
 		return 0, fmt.Errorf("%w: barrier: %v", framer.ErrSession, err)
 	}
+	if err := s.conn.Send(ctx, wire.Frame{Gone: &wire.Gone{List: s.distributor.gone(hello.Name)}}); err != nil {
+		return 0, err
+	}
 	return hello.Held, s.conn.Send(ctx, wire.Frame{Heartbeat: &wire.Heartbeat{Version: hello.Held, Fresh: true}})
 }
 
--- a/controller/registrar/registrar.go
+++ b/controller/registrar/registrar.go
@@ -1,5 +1,5 @@
-// Package registrar implements the replicated state machine. Its state is the batches, the results of changes, and the
-// claims.
+// Package registrar implements the replicated state machine. Its state is the batches, the results of changes, the claims and
+// the departures of upstreams.
 package registrar
 
 import (
@@ -18,7 +18,7 @@
 
 // Registrar applies commands in log order.
 //
-// Apply, Save and Restore must be called from one goroutine. View may be called from any goroutine.
+// Apply, Save and Restore must be called from one goroutine. View and Departures may be called from any goroutine.
 type Registrar struct {
 	version       uint64
 	clock         int64
@@ -26,6 +26,7 @@
 	tombstones    []wire.Tombstone
 	changeResults *changeResults
 	grants        *grants
+	departures    departures
 	view          atomic.Pointer[View]
 }
 
@@ -43,6 +44,7 @@
 	r.clock = max(r.clock, cmd.At)
 	r.changeResults.prune(r.clock)
 	r.grants.prune(r.clock)
+	r.departures.prune(r.clock)
 	switch {
 	case cmd.Change != nil:
 		return r.change(*cmd.Change)
@@ -54,6 +56,8 @@
 		return verdictResult(r.grants.release(*cmd.Release, r.clock))
 	case cmd.Finish != nil:
 		return verdictResult(r.grants.finish(*cmd.Finish))
+	case cmd.Leave != nil:
+		return verdictResult(r.departures.record(*cmd.Leave, r.clock))
 	}
 	return wire.Result{Code: presenter.CodeInvalid, Error: "empty command"}
 }
@@ -67,6 +71,7 @@
 		Tombstones: r.tombstones,
 		Answers:    r.changeResults.list,
 		Grants:     r.grants.list(),
+		Leaves:     r.departures.all(),
 	}
 	data, err := encoder.Marshal(state)
 	if err != nil {
@@ -88,6 +93,7 @@
 	}
 	r.changeResults = newChangeResults(state.Answers...)
 	r.grants = newGrants(state.Grants...)
+	r.departures.restore(state.Leaves)
 	r.publishView()
 	return nil
 }
@@ -97,6 +103,11 @@
 	return r.view.Load()
 }
 
+// Departures returns the departures of the upstreams of a VM, by the name of its daemon.
+func (r *Registrar) Departures(daemon string) []wire.Departure {
+	return r.departures.of(daemon)
+}
+
 func (r *Registrar) publishView() {
 	old := r.view.Load()
 	r.view.Store(newView(r, old))
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -178,6 +178,7 @@
 		distributor.WithPropose(r.propose),
 		distributor.WithBarrier(r.barrier),
 		distributor.WithView(r.registrar.View),
+		distributor.WithDepartures(r.registrar.Departures),
 		distributor.WithFresh(r.fresh),
 		distributor.WithReferral(r.referTo),
 		distributor.WithLogger(log.Named("distributor")),
--- a/core/wire/states.go
+++ b/core/wire/states.go
@@ -11,6 +11,9 @@
 	Invalid  = "invalid"  // the key is not a UUIDv7 or was created in the future
 )
 
+// Recorded is the state in the Verdict on a departure: it is in the replicated log.
+const Recorded = "recorded"
+
 // States of a Member.
 const (
 	Alive   = "alive"
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -154,6 +154,9 @@
 	// Finish corresponds to the JSON schema field "finish".
 	Finish *Claim `json:"finish,omitempty,omitzero"`
 
+	// Leave corresponds to the JSON schema field "leave".
+	Leave *Leave `json:"leave,omitempty,omitzero"`
+
 	// A change, encoded and compressed.
 	Packed []byte `json:"packed"`
 
@@ -308,12 +311,18 @@
 	// Full corresponds to the JSON schema field "full".
 	Full *Full `json:"full,omitempty,omitzero"`
 
+	// Gone corresponds to the JSON schema field "gone".
+	Gone *Gone `json:"gone,omitempty,omitzero"`
+
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero"`
 
 	// Number that matches a reply to its request.
 	ID uint64 `json:"id"`
 
+	// Departure that a daemon asks to record.
+	Leave *Departure `json:"leave,omitempty,omitzero"`
+
 	// A large frame, encoded and compressed.
 	Packed []byte `json:"packed"`
 
@@ -336,6 +345,12 @@
 	Sum uint64 `json:"sum"`
 }
 
+// Gone lists the departures of a VM.
+type Gone struct {
+	// Departures, one for each upstream.
+	List []Departure `json:"list"`
+}
+
 // Gossip is one datagram, or one message of an exchange, between members.
 type Gossip struct {
 	// Name of the sender.
@@ -429,6 +444,18 @@
 	Name string `json:"name"`
 }
 
+// Leave records that an upstream has left its VM.
+type Leave struct {
+	// Time of the command that recorded it, in milliseconds since the Unix epoch.
+	At int64 `json:"at"`
+
+	// Reports that are out of date.
+	Gone Departure `json:"gone"`
+
+	// Name of the daemon on the VM.
+	Name string `json:"name"`
+}
+
 // Member is one daemon or controller in the gossip membership.
 type Member struct {
 	// Address for calls and gossip.
@@ -710,6 +737,9 @@
 	// Tombstones sorted by version.
 	Tombstones []Tombstone `json:"graves"`
 
+	// Departures sorted by time.
+	Leaves []Leave `json:"left,omitempty,omitzero"`
+
 	// Last version.
 	Version uint64 `json:"version"`
 }
--- a/daemon/announcer/announcer.go
+++ b/daemon/announcer/announcer.go
@@ -30,6 +30,8 @@
 type Announcer struct {
 	updateMember func(func(*wire.Member))
 	confirm      func(context.Context) error
+	record       func(context.Context, wire.Departure) error
+	store        store
 	recovered    <-chan struct{} // nil if nothing is recovered
 	drain        func(context.Context) error
 	hasService   func(string) bool
@@ -47,8 +49,7 @@
 	startedAt     int64
 	lastReport    reportID       // last report of the upstream that was not stale
 	departed      wire.Departure // last leave, as the other members hold it
-	confirmed     wire.Departure // last departure that other members are known to hold
-	undated       undatedLeave   // last final leave of an upstream whose start time was unknown
+	departures    departures     // last leave of each upstream
 	held          *heldUpstream  // announced before the departure was recovered
 	pendingLeaves int            // leaves that wait for in-flight calls
 	stopping      bool
@@ -68,8 +69,19 @@
 	return func(a *Announcer) { a.confirm = confirm }
 }
 
-// WithRecovered sets a channel that is closed once Restore has been called if other members remember a departure. Until then
-// no upstream is announced.
+// WithRecord sets the function that stores a departure so that it outlasts the processes of all members. A leave is acknowledged
+// only after it has returned.
+func WithRecord(record func(context.Context, wire.Departure) error) Option {
+	return func(a *Announcer) { a.record = record }
+}
+
+// WithFolder sets the data folder that keeps the departures across restarts.
+func WithFolder(folder string) Option {
+	return func(a *Announcer) { a.store = store{folder: folder} }
+}
+
+// WithRecovered sets a channel that is closed once Restore and RestoreAll have been called if others remember departures. Until
+// then no upstream is announced.
 func WithRecovered(recovered <-chan struct{}) Option {
 	return func(a *Announcer) { a.recovered = recovered }
 }
@@ -104,6 +116,8 @@
 	a := &Announcer{
 		updateMember: func(func(*wire.Member)) {},
 		confirm:      func(context.Context) error { return nil },
+		record:       func(context.Context, wire.Departure) error { return nil },
+		departures:   newDepartures(),
 		drain:        func(context.Context) error { return nil },
 		hasService:   func(string) bool { return true },
 		isConfigured: func() bool { return true },
@@ -113,6 +127,7 @@
 	for _, opt := range opts {
 		opt(a)
 	}
+	a.loadDepartures()
 	return a
 }
 
@@ -163,7 +178,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	// A daemon whose process was paused may handle an announcement after the leave that was sent later.
-	if a.departed.Covers(u.ID, u.Start, seq) {
+	if a.isDeparted(u.ID, u.Start, seq) {
 		return ErrStale
 	}
 	return a.accept(u, seq, now)
@@ -220,8 +235,9 @@
 		a.mu.Unlock()
 		return nil
 	}
+	id := a.announcedID()
 	if n.seq != 0 {
-		a.depart(wire.Departure{Upstream: wire.HashUpstream(a.announcedID()), Start: n.start, Seq: n.seq})
+		a.depart(wire.Departure{Upstream: wire.HashUpstream(id), Start: n.start, Seq: n.seq})
 	}
 	a.pendingLeaves++
 	a.held = nil
@@ -234,7 +250,7 @@
 	if err != nil {
 		return fmt.Errorf("calls are still in progress: %w", err)
 	}
-	return a.confirmDeparture(ctx)
+	return a.confirmDeparture(ctx, id)
 }
 
 // expire withdraws the announcement if its lifetime has passed.
--- a/daemon/announcer/order.go
+++ b/daemon/announcer/order.go
@@ -46,10 +46,9 @@
 		return a.lastReport.start
 	case a.current != nil && a.current.ID == id && a.current.Start != 0:
 		return a.current.Start
-	case a.departed.Upstream == wire.HashUpstream(id):
-		return a.departed.Start
 	}
-	return 0
+	gone, _ := a.departures.of(id)
+	return gone.Start
 }
 
 // isStale reports whether a report was sent before one that has been applied, or before a leave.
@@ -59,7 +58,7 @@
 	if r.Final {
 		seq = wire.FinalSeq
 	}
-	if a.departed.Covers(u.ID, u.Start, seq) || a.undated.covers(u) {
+	if a.isDeparted(u.ID, u.Start, seq) {
 		return true
 	}
 	if last.isSameProcess(u) {
--- a/daemon/announcer/report.go
+++ b/daemon/announcer/report.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	// A repeated leave is stale, but the first one may not have been confirmed.
-	if unconfirmed := a.confirmDeparture(ctx); unconfirmed != nil {
+	if unconfirmed := a.confirmDeparture(ctx, r.Upstream.ID); unconfirmed != nil {
 		return unconfirmed
 	}
 	return err
@@ -60,6 +60,9 @@
 		r.Upstream.Start = a.startOf(r.Upstream.ID)
 	}
 	if a.isStale(r) {
+		if r.Leaving && r.Upstream.Start != 0 {
+			a.departures.add(a.reportIDOf(r).departure()) // the process that is reported has left, if it was not known yet
+		}
 		return ErrStale
 	}
 	if err := a.checkService(r); err != nil {
@@ -79,7 +82,7 @@
 	if u.Start == 0 && last.id != u.ID && a.announcedID() != u.ID {
 		// Which process has left is unknown. Only those that have started by now can be the one.
 		a.log.Warn("leave of an unknown upstream without a start time", "id", u.ID)
-		a.undated = undatedLeave{u.ID, now.UnixMilli()}
+		a.departures.add(wire.Departure{Upstream: wire.HashUpstream(u.ID), Start: now.UnixMilli(), Seq: wire.FinalSeq})
 		return
 	}
 	a.lastReport = a.reportIDOf(r)
--- a/daemon/claimer/claimer.go
+++ b/daemon/claimer/claimer.go
@@ -1,4 +1,4 @@
-// Package claimer requests, releases and finishes claims over the daemon's session with a controller.
+// Package claimer requests, releases and finishes claims, and records departures, over the daemon's session with a controller.
 package claimer
 
 import (
@@ -96,6 +96,12 @@
 	c.enqueue(wire.Frame{Finish: &claim})
 }
 
+// Leave records the departure of the local upstream in the replicated log. It retries until that is done or ctx ends.
+func (c *Claimer) Leave(ctx context.Context, gone wire.Departure) error {
+	_, err := c.requestWithRetry(ctx, wire.Frame{Leave: &gone})
+	return err
+}
+
 // Run delivers updates until ctx ends.
 func (c *Claimer) Run(ctx context.Context) error {
 	done := make(chan struct{})
--- a/daemon/runner/adapters.go
+++ b/daemon/runner/adapters.go
@@ -95,6 +95,18 @@
 	r.announcer.Restore(d)
 }
 
+// restoreDepartures passes on the departures that the replicated log holds.
+func (r *Runner) restoreDepartures(all []wire.Departure) {
+	r.announcer.RestoreAll(all)
+}
+
+// recordDeparture stores a departure in the replicated log.
+func (r *Runner) recordDeparture(ctx context.Context, gone wire.Departure) error {
+	ctx, cancel := context.WithTimeout(ctx, recordLimit)
+	defer cancel()
+	return r.claimer.Leave(ctx, gone)
+}
+
 // slotLimit returns how many calls the upstream gets at once. The limit does not exceed the connections that the upstream
 // accepts, since further calls would hold a slot while they wait for a connection.
 func (r *Runner) slotLimit(announced int) int {
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -31,6 +31,7 @@
 		subscriber.WithControllers(s.Controllers...),
 		subscriber.WithDiscovery(r.discoveredControllers),
 		subscriber.WithFolder(s.Data),
+		subscriber.WithDepartures(r.restoreDepartures),
 		subscriber.WithDial(connector.New(connector.WithSource(s.Bind.Addr())).Dial),
 		subscriber.WithProofs(chronometer.Now, func() bool { return r.settings.Load().Revoke > 0 }),
 		subscriber.WithLogger(r.log.Named("subscriber")),
@@ -51,7 +52,9 @@
 	r.announcer = announcer.New(
 		announcer.WithMemberUpdate(r.updateMember),
 		announcer.WithConfirm(r.gossiper.Confirm),
-		announcer.WithRecovered(r.gossiper.Recovered()),
+		announcer.WithRecord(r.recordDeparture),
+		announcer.WithFolder(s.Data),
+		announcer.WithRecovered(r.recovered),
 		announcer.WithServices(r.hasService),
 		announcer.WithConfigured(func() bool { return r.subscriber.Snapshot() != nil }),
 		announcer.WithDrain(r.drainUpstream),
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -76,6 +76,7 @@
 	connections   connectionLimits
 	watcher       *watcher.Watcher // nil without a settings file
 	upstreamStart atomic.Int64     // announced start time of the local upstream, in milliseconds since the Unix epoch
+	recovered     chan struct{}    // closed once the departures of the upstreams on this VM are known
 	stopping      atomic.Bool
 	refusingCalls atomic.Bool  // set when routed calls are refused because the daemon is about to exit
 	inFlightCalls atomic.Int64 // routed calls of callers in flight
@@ -106,7 +107,7 @@
 	if _, err := chronometer.Now(); err != nil && s.Quota.Enabled() {
 		return nil, fmt.Errorf("quotas need a clock that does not stop while the VM is suspended: %w", err)
 	}
-	r := &Runner{log: log, names: courier.DefaultHeaderNames()}
+	r := &Runner{log: log, names: courier.DefaultHeaderNames(), recovered: make(chan struct{})}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -210,7 +211,7 @@
 	var group run.Group
 	components := []func(context.Context) error{
 		r.subscriber.Run, r.claimer.Run, r.gossiper.Run, r.exchanger.Run, r.announcer.Run, r.deliverer.Run, r.dispatcher.Run,
-		r.tallier.Run,
+		r.tallier.Run, r.recoverDepartures,
 	}
 	if r.carrier != nil {
 		components = append(components, r.carrier.Run)
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -112,7 +112,7 @@
 
 // helloFrame returns the first frame of a session. It asks for the changes since the snapshot in effect, or for a full
 // snapshot if full is true. Without a snapshot it asks for a barrier, so that the controller answers only after a
-// linearizable read.
+// linearizable read, with the departures and a snapshot.
 func (c *session) helloFrame(full bool) wire.Frame {
 	hello := &wire.Hello{Name: c.subscriber.name, Domain: c.subscriber.domain, Batch: c.subscriber.batch, Full: full, Stay: c.noReferral}
 	if inEffect := c.subscriber.Snapshot(); inEffect != nil {
@@ -175,6 +175,8 @@
 		return errStopping
 	case frame.Refer != nil:
 		return newReferralError(*frame.Refer)
+	case frame.Gone != nil:
+		c.subscriber.recoverDepartures(frame.Gone.List)
 	case frame.Full != nil, frame.Delta != nil:
 		return c.applyUpdate(ctx, frame)
 	case frame.Heartbeat != nil:
@@ -198,6 +200,8 @@
 	if err != nil {
 		return err
 	}
+	// Controllers send departures before the first update; older builds have none.
+	c.subscriber.recoverDepartures(nil)
 	inEffect := c.subscriber.Snapshot()
 	return c.enqueue(ctx, wire.Frame{Ack: &wire.Ack{Version: inEffect.Version(), Sum: inEffect.Sum()}})
 }
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,10 @@
 	leftWithoutMajority map[netip.AddrPort]time.Time
 	dial                func(context.Context, netip.AddrPort) (net.Conn, error)
 
+	departed      func([]wire.Departure)
+	recovered     chan struct{} // closed once the departures are known
+	recoveredOnce sync.Once
+
 	clock        func() (time.Duration, error) // for proofs
 	proofsNeeded func() bool
 
@@ -102,6 +107,11 @@
 	return func(s *Subscriber) { s.store = store{folder: folder} }
 }
 
+// WithDepartures sets the function that receives the departures of the upstreams on this VM that the replicated log holds.
+func WithDepartures(departed func([]wire.Departure)) Option {
+	return func(s *Subscriber) { s.departed = departed }
+}
+
 // WithRandom sets the random source for jitter and for the order of controllers.
 func WithRandom(random *rand.Rand) Option {
 	return func(s *Subscriber) { s.random = random }
@@ -124,6 +134,8 @@
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:            hclog.NewNullLogger(),
 		lastSessionEnd: map[netip.AddrPort]time.Time{},
+		departed:       func([]wire.Departure) {},
+		recovered:      make(chan struct{}),
 
 		leftWithoutMajority: map[netip.AddrPort]time.Time{},
 		clock:               func() (time.Duration, error) { return 0, errors.New("no clock") },
@@ -245,6 +257,7 @@
 		s.log.Warn("stored snapshot belongs to another batch", "stored", stored.Batch().Name, "batch", s.batch)
 	default:
 		s.publish(stored)
+		s.recoverDepartures(nil) // a data folder with a snapshot has the departures too
 	}
 }
 
