--- a/controller/distributor/distributor_test.go
+++ b/controller/distributor/distributor_test.go
@@ -17,7 +17,6 @@
 	"bluebellhoist/controller/registrar"
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/encoder"
-	"bluebellhoist/core/framer"
 	"bluebellhoist/core/presenter"
 	"bluebellhoist/core/wire"
 )
