Let the leave of an unknown process make only its own reports out of date

A deregistration names no service. One with another id and a later start time than the upstream's made all reports of the upstream out of date, also after a restart of the daemon; so did a draining report for an unknown service before there was a configuration.

Evidence: TestForeignReport failed before in the cases "deregistration" and "leave before there is a configuration".

Fix: such a leave is recorded in the log under its own id and does not enter the order of reports or the gossip entry, which holds one departure for all processes of the VM.

--- a/daemon/announcer/order_test.go
+++ b/daemon/announcer/order_test.go
@@ -69,6 +69,35 @@
 		is.NoErr(a.Report(t.Context(), newReport("i", 10, 5, false)))
 		requireReady(t, a, "i")
 	})
+	foreignGone := announcer.Report{Upstream: wire.Upstream{ID: "x", Start: 20}, Leaving: true, Final: true}
+	t.Run("deregistration", func(t *testing.T) {
+		for _, reports := range [][]announcer.Report{
+			{foreignGone, newReport("i", 10, 4, false)},
+			{newReport("i", 10, 4, false), foreignGone, newReport("i", 10, 5, false)},
+		} {
+			is := is.New(t)
+			log := newRecorder()
+			a := log.restarted()
+			for _, r := range reports {
+				is.NoErr(a.Report(t.Context(), r))
+			}
+			requireReady(t, a, "i")
+			a = log.restarted()
+			is.NoErr(a.Report(t.Context(), newReport("i", 10, 6, false)))
+			requireReady(t, a, "i")
+		}
+	})
+	t.Run("leave before there is a configuration", func(t *testing.T) {
+		is := is.New(t)
+		var configured services
+		a, _ := memberOf(configured.options()...)
+		is.NoErr(a.Report(t.Context(), newReport("i", 10, 4, false)))
+		is.NoErr(a.Report(t.Context(), foreignLeave))
+		requireReady(t, a, "i")
+		configured = services{"s": true}
+		is.NoErr(a.Report(t.Context(), newReport("i", 10, 5, false)))
+		requireReady(t, a, "i")
+	})
 	t.Run("announced when the configuration arrives", func(t *testing.T) {
 		is := is.New(t)
 		var configured services
--- a/daemon/announcer/report.go
+++ b/daemon/announcer/report.go
@@ -79,10 +79,8 @@
 // applyLeave withdraws the upstream and records its departure. The caller holds the lock.
 func (a *Announcer) applyLeave(r Report, now time.Time) {
 	u, last := r.Upstream, a.lastReport
-	if u.Start == 0 && last.id != u.ID && a.announcedID() != u.ID {
-		// Which process has left is unknown. Only those that have started by now can be the one.
-		a.log.Warn("leave of an unknown upstream without a start time", "id", u.ID)
-		a.departures.add(wire.Departure{Upstream: wire.HashUpstream(u.ID), Start: now.UnixMilli(), Seq: wire.FinalSeq})
+	if !a.isKnownProcess(r) {
+		a.applyUnknownLeave(r, now)
 		return
 	}
 	a.lastReport = a.reportIDOf(r)
@@ -100,6 +98,25 @@
 	a.depart(a.lastReport.departure())
 }
 
+// isKnownProcess reports whether a leave is that of an upstream on this VM: its process has reported before, or the leave names a
+// service that the configuration has. The caller holds the lock.
+func (a *Announcer) isKnownProcess(r Report) bool {
+	u := r.Upstream
+	return a.lastReport.isSameProcess(u) || a.announcedID() == u.ID || !r.Final && a.isConfigured() && a.hasService(u.Service)
+}
+
+// applyUnknownLeave records the departure of a process that has not reported before. It makes only its own reports out of date:
+// it may not be the upstream on this VM. Without a start time, the processes under the id that have started by now have left.
+// The caller holds the lock.
+func (a *Announcer) applyUnknownLeave(r Report, now time.Time) {
+	gone := a.reportIDOf(r).departure()
+	if gone.Start == 0 {
+		gone.Start = now.UnixMilli()
+	}
+	a.log.Warn("leave of an upstream that has not reported", "id", r.Upstream.ID, "start", r.Upstream.Start)
+	a.departures.add(gone)
+}
+
 // checkService refuses a report for a service that the configuration does not have: it comes from another writer, and must
 // neither replace the upstream nor make its reports out of date. A process that was accepted while the configuration had its
 // service goes on reporting. Until there is a configuration, all services are accepted. The caller holds the lock.
