Keep further attempts of a refused call off the connection that carried it

A repeated refusal with another call's id, or without one, was skipped already. With the id of the call it is taken for its answer, which needs a second call under the same id on that connection.

Looked for paths of our own that make one: a call is tried at each member once (the members tried are passed to the pick), hedged calls go to another member, a send is repeated only if no byte was sent, and calls of the product's own interface that may run once have a connection each. So only a caller that uses an id twice gets there, and a call without an id, whose answer nothing identifies.

Evidence: TestRepeatedRefusal failed before in the cases "to a further attempt of the refused call" and "to a call without an id"; the other three cases passed.

Fix: a connection remembers the ids of calls that got an error answer and carries no further call under them; after 64 it is closed. A call without an id gets a connection of its own.

--- a/daemon/courier/client.go
+++ b/daemon/courier/client.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +27,9 @@
 	idleLimitFraction = 0.6
 	// sweepInterval is the time between two checks for connections that have been idle for too long.
 	sweepInterval = time.Second
+	// maxErrorsPerConn is the number of error responses after which a connection is closed. Until then it remembers the calls
+	// that got them.
+	maxErrorsPerConn = 64
 	// maxAnswersPerCall is how many responses are read for a call, including responses to other calls that are skipped.
 	maxAnswersPerCall = 8
 )
@@ -89,6 +94,9 @@
 	// EchoHeader names a header that the response must contain with the value EchoValue; empty for none. Responses with
 	// another value belong to other calls and are skipped.
 	EchoHeader, EchoValue string
+	// Fresh is true if the call must have a connection of its own. A call without an EchoValue cannot tell its response from one
+	// that the server repeats.
+	Fresh bool
 }
 
 // conn is a connection to a server.
@@ -100,13 +108,28 @@
 	idleSince time.Time     // when the connection became idle
 	reused    bool          // the connection has carried a call before
 	broken    bool          // a write has failed, so the end of the connection may be that of a reset
+	errorIDs  []string      // echo values of the calls that got an error response on this connection
+}
+
+// canCarry reports whether the response to a call can be told from those that the server may repeat on the connection. A server
+// in trouble may send an earlier refusal once more; if the call is a further attempt of the refused one, the echo value does not
+// tell them apart.
+func (c *conn) canCarry(call Call) bool {
+	return !call.Fresh && (call.EchoValue == "" || !slices.Contains(c.errorIDs, call.EchoValue))
+}
+
+// observe remembers a call that got an error response.
+func (c *conn) observe(call Call, answer *Answer) {
+	if call.EchoValue != "" && answer.Status >= http.StatusBadRequest {
+		c.errorIDs = append(c.errorIDs, call.EchoValue)
+	}
 }
 
 // Do sends a call and returns its response. An error wraps ErrUnsent if no byte was sent, and ErrIncompleteAnswer
 // otherwise.
 func (c *Client) Do(ctx context.Context, to netip.AddrPort, call Call) (*Answer, error) {
 	for {
-		conn, err := c.connect(ctx, to, call.MaxIdle)
+		conn, err := c.connect(ctx, to, call)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w: %v", ErrUnsent, ErrUnreachable, err)
 		}
@@ -123,10 +146,15 @@
 func (c *Client) doOnConn(ctx context.Context, to netip.AddrPort, conn *conn, call Call) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	answer, err := conn.exchange(call)
-	if !stop() || err != nil || answer.Close || conn.r.Buffered() > 0 {
+	if !stop() || err != nil || answer.Close || conn.r.Buffered() > 0 || call.Fresh {
 		_ = conn.Close()
 		return answer, err
 	}
+	conn.observe(call, answer)
+	if len(conn.errorIDs) >= maxErrorsPerConn {
+		_ = conn.Close()
+		return answer, nil
+	}
 	conn.updateIdleLimit(answer)
 	c.putIdle(to, conn)
 	return answer, nil
@@ -177,10 +205,10 @@
 	}
 }
 
-// connect returns the most recently used idle connection, or a new one.
-func (c *Client) connect(ctx context.Context, to netip.AddrPort, maxIdle time.Duration) (*conn, error) {
+// connect returns the most recently used idle connection that can carry the call, or a new one.
+func (c *Client) connect(ctx context.Context, to netip.AddrPort, call Call) (*conn, error) {
 	for {
-		idle := c.takeIdle(to, maxIdle)
+		idle := c.takeIdle(to, call)
 		if idle == nil {
 			break
 		}
@@ -201,18 +229,23 @@
 	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferBytes), memory: &c.memory, idleLimit: defaultIdleLimit}, nil
 }
 
-func (c *Client) takeIdle(to netip.AddrPort, maxIdle time.Duration) *conn {
+func (c *Client) takeIdle(to netip.AddrPort, call Call) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
 	c.prune(to, now)
 	list := c.idle[to]
-	n := len(list)
-	if n == 0 || maxIdle > 0 && now.Sub(list[n-1].idleSince) > maxIdle {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		idle := list[i]
+		if call.MaxIdle > 0 && now.Sub(idle.idleSince) > call.MaxIdle {
+			return nil
+		}
+		if idle.canCarry(call) {
+			c.idle[to] = slices.Delete(list, i, i+1)
+			return idle
+		}
 	}
-	c.idle[to] = list[:n-1]
-	return list[n-1]
+	return nil
 }
 
 func (c *Client) putIdle(to netip.AddrPort, conn *conn) {
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -265,9 +265,12 @@
 	if !c.Retryable {
 		result.MaxIdle = maxIdleOnce
 	}
-	if value := request.Header.Get(d.names.Attempt); value != "" {
-		result.EchoHeader, result.EchoValue = d.names.Attempt, value
+	value := request.Header.Get(d.names.Attempt)
+	if value == "" {
+		result.Fresh = d.names.Attempt != ""
+		return result
 	}
+	result.EchoHeader, result.EchoValue = d.names.Attempt, value
 	return result
 }
 
