--- a/core/inspector/transport_test.go
+++ b/core/inspector/transport_test.go
@@ -148,3 +148,24 @@
 	is.NoErr(err)
 	is.Equal(string(data), "A b: x\r\n\r\n")
 }
+
+// TestCutHead guards against a response that stops inside its head and is taken for a complete one, or makes net/http repeat the
+// request, on a new or a kept connection.
+func TestCutHead(t *testing.T) {
+	const head = "HTTP/1.1 103 Hints\r\nA: x\r\n\r\n" + ok + "Content-Length: 0\r\n\r\n"
+	for n := 1; n < len(head); n++ {
+		is := is.New(t)
+		url, requests := server(t, head[:n])
+		_, err := get(t, inspector.New(&http.Transport{}), url)
+		is.True(err != nil) // after n bytes on a new connection
+		is.Equal(requests.Load(), int32(1))
+
+		kept := inspector.New(&http.Transport{})
+		url, requests = server(t, ok+whole, head[:n])
+		_, err = get(t, kept, url)
+		is.NoErr(err)
+		_, err = get(t, kept, url)
+		is.True(err != nil) // after n bytes on a kept connection
+		is.Equal(requests.Load(), int32(2))
+	}
+}
