--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -180,7 +180,8 @@
 }
 
 // handleHello waits for the barrier if the hello asks for one, confirms the session with a heartbeat and returns the version
-// that the daemon holds. After a barrier it first sends the departures of the daemon's VM. Updates that were sent before no longer count: the daemon has rejected one of them.
+// that the daemon holds. After a barrier it first sends the departures of the daemon's VM. Updates that were sent before no
+// longer count: the daemon has rejected one of them.
 func (s *session) handleHello(ctx context.Context, hello wire.Hello) (uint64, error) {
 	s.unacked = nil
 	if !hello.Barrier {
--- a/controller/runner/stop.go
+++ b/controller/runner/stop.go
@@ -9,8 +9,8 @@
 	"bluebellhoist/controller/replicator"
 )
 
-// stop transfers the leadership and hands over the vote, leaves the gossip, tells the daemons to reconnect elsewhere, and waits for requests in
-// flight.
+// stop transfers the leadership and hands over the vote, leaves the gossip, tells the daemons to reconnect elsewhere, and waits
+// for requests in flight.
 func (r *Runner) stop(servers []*http.Server) error {
 	limit := stopLimit
 	if grace := time.Duration(r.settings.Grace); grace > 0 {
--- a/core/saver/saver.go
+++ b/core/saver/saver.go
@@ -4,12 +4,29 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 )
 
-// ErrIO reports a file or folder that was not durably written.
-var ErrIO = errors.New("file not saved")
+// ErrIO reports a file or folder that was not durably written or could not be read.
+var ErrIO = errors.New("file not saved or loaded")
+
+// Load returns the content of the named file in the folder, or nil if there is no such file. It creates the folder if needed,
+// and syncs it, since the last run may have ended between renaming the file and syncing the folder.
+func Load(folder, name string) ([]byte, error) {
+	if err := errors.Join(EnsureFolder(folder), SyncFolder(folder)); err != nil {
+		return nil, err
+	}
+	data, err := os.ReadFile(filepath.Join(folder, name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrIO, err)
+	}
+	return data, nil
+}
 
 // Replace atomically and durably replaces the content of the named file in the folder with data.
 func Replace(folder, name string, data []byte) error {
--- a/daemon/announcer/store.go
+++ b/daemon/announcer/store.go
@@ -3,9 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io/fs"
-	"os"
-	"path/filepath"
 
 	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/saver"
@@ -22,22 +19,18 @@
 	folder string
 }
 
-// load returns the stored departures. It creates the folder if needed, and syncs it, since the last run may have ended between
-// renaming the file and syncing the folder.
+// load returns the stored departures. It creates the folder if needed.
 func (s store) load() ([]wire.Departure, error) {
 	if s.folder == "" {
 		return nil, nil
 	}
-	if err := errors.Join(saver.EnsureFolder(s.folder), saver.SyncFolder(s.folder)); err != nil {
+	data, err := saver.Load(s.folder, storeFile)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrStore, err)
 	}
-	data, err := os.ReadFile(filepath.Join(s.folder, storeFile))
-	if errors.Is(err, fs.ErrNotExist) {
+	if data == nil {
 		return nil, nil
 	}
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrStore, err)
-	}
 	var gone wire.Gone
 	if err := encoder.Unmarshal(data, &gone); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrStore, err)
--- a/daemon/subscriber/store.go
+++ b/daemon/subscriber/store.go
@@ -20,22 +20,18 @@
 	folder string
 }
 
-// load returns the stored snapshot, or nil if there is none. It creates the folder if needed, and syncs it, since the last run
-// may have ended between renaming the snapshot and syncing the folder.
+// load returns the stored snapshot, or nil if there is none. It creates the folder if needed.
 func (s store) load() (*compiler.Snapshot, error) {
 	if s.folder == "" {
 		return nil, nil
 	}
-	if err := errors.Join(saver.EnsureFolder(s.folder), saver.SyncFolder(s.folder)); err != nil {
+	data, err := saver.Load(s.folder, storeFile)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrStore, err)
 	}
-	data, err := os.ReadFile(filepath.Join(s.folder, storeFile))
-	if errors.Is(err, fs.ErrNotExist) {
+	if data == nil {
 		return nil, nil
 	}
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrStore, err)
-	}
 	var full wire.Full
 	if err := encoder.Unmarshal(data, &full); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrStore, err)
