--- a/controller/registrar/registrar_bench_test.go
+++ b/controller/registrar/registrar_bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"bluebellhoist/controller/registrar"
+	"bluebellhoist/core/encoder"
 	"bluebellhoist/core/wire"
 )
 
@@ -62,3 +63,30 @@
 		r.Apply(wire.Command{At: now, Finish: &c})
 	}
 }
+
+// BenchmarkDepartures measures the size of a departure in the log and in a checkpoint.
+func BenchmarkDepartures(b *testing.B) {
+	const count = 10_000
+	command := func(i int) wire.Command {
+		gone := wire.Departure{Upstream: wire.HashUpstream(fmt.Sprint(i)), Start: time.Now().UnixMilli(), Seq: wire.FinalSeq}
+		return wire.Command{At: time.Now().UnixMilli(), Leave: &wire.Leave{Name: fmt.Sprintf("sidecar-%05d", i%1200), Gone: gone}}
+	}
+	entry, err := encoder.Marshal(command(0))
+	if err != nil {
+		b.Fatal(err)
+	}
+	size := 0
+	for b.Loop() {
+		r := registrar.New()
+		for i := range count {
+			r.Apply(command(i))
+		}
+		data, err := r.Save()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+	}
+	b.ReportMetric(float64(len(entry)), "entry-B")
+	b.ReportMetric(float64(size)/count, "saved-B/departure")
+}
