--- a/controller/runner/stop.go
+++ b/controller/runner/stop.go
@@ -45,6 +45,9 @@
 		r.log.Warn("leadership not transferred", "error", err)
 		return
 	}
+	if !r.replicator.Status().Self.Voter {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
 	defer cancel()
 	err := r.replicator.Leave(ctx)
