Check the hand-over of a vote in the model of membership changes

spec/repair.pml added the new voter only after the old one was removed. A planned stop adds it first.

--- a/spec/repair.pml
+++ b/spec/repair.pml
@@ -5,7 +5,8 @@
  * Covers R9 (an accepted, that is committed, entry of the replicated log is never lost) and the rule that no term has
  * two leaders.
  *
- * Node OLD lost its disk and rejoins as node SPARE with an empty log. Leaders remove OLD, then add SPARE.
+ * Node OLD lost its disk and rejoins as node SPARE with an empty log. Leaders remove OLD, then add SPARE. With ADDFIRST, OLD
+ * stops as planned and SPARE takes its place: leaders may add SPARE first, and remove OLD before or after that.
  * They may also regard any other voter as lost and remove it. The model starts after the first election: node 0 leads
  * term 1, and every log has the committed first entry, the membership of the voters.
  *
@@ -221,6 +222,11 @@
 #else
 #define OWN_TERM_COMMITTED(l) (TERM(LOG(l, commit_index[l])) == term[l])
 #endif
+#ifdef ADDFIRST
+#define NOT_BESIDE_SPARE 0         /* members beside which SPARE is not added */
+#else
+#define NOT_BESIDE_SPARE BIT(OLD)
+#endif
 #define CAN_CHANGE_MEMBERSHIP(l) (is_leader[l] && log_size[l] < LENGTH && \
 	MEMBERSHIP_COMMITTED(l) && OWN_TERM_COMMITTED(l))
 
@@ -272,8 +278,8 @@
 		/* Regards a voter as lost and removes it. */
 		:: d_step { n != m && CAN_CHANGE_MEMBERSHIP(n) && (MEMBERS(n) & BIT(m) & REMOVABLE) ->
 			append_entry(n, (MEMBERS(n) & ~BIT(m))); n = 0; m = 0; i = 0; j = 0 }
-		/* Adds SPARE after OLD is removed. */
-		:: d_step { m == SPARE && CAN_CHANGE_MEMBERSHIP(n) && !(MEMBERS(n) & (BIT(OLD) | BIT(SPARE))) ->
+		/* Adds SPARE, after OLD is removed unless ADDFIRST is set. */
+		:: d_step { m == SPARE && CAN_CHANGE_MEMBERSHIP(n) && !(MEMBERS(n) & (NOT_BESIDE_SPARE | BIT(SPARE))) ->
 			append_entry(n, (MEMBERS(n) | BIT(SPARE))); n = 0; m = 0; i = 0; j = 0 }
 #ifdef ONESTEP
 		:: d_step { m == SPARE && CAN_CHANGE_MEMBERSHIP(n) && n != OLD && (MEMBERS(n) & BIT(OLD)) &&
