--- a/core/gossiper/departure_test.go
+++ b/core/gossiper/departure_test.go
@@ -122,3 +122,56 @@
 		is.New(n.t).Equal(lookup(nodes[3], nodes[3].name).Gone, departure)
 	})
 }
+
+// TestRemembered guards against a restarted member that takes others for ones which remember it although all have restarted, and
+// against one that does not notice those that do.
+func TestRemembered(t *testing.T) {
+	isRemembered := func(x *node) bool {
+		select {
+		case <-x.Remembered():
+			return true
+		default:
+			return false
+		}
+	}
+	t.Run("one restarts", func(t *testing.T) {
+		newNetwork(t, 27, 0, 4).runMesh(20, func(n *network, nodes []*node) {
+			time.Sleep(5 * time.Second)
+			n.kill(nodes[13])
+			x := n.start(13, 0)
+			<-x.Recovered()
+			synctest.Wait()
+			is.New(n.t).True(isRemembered(x))
+		})
+	})
+	t.Run("all but one seed restart", func(t *testing.T) {
+		newNetwork(t, 28, 0, 4).runMesh(20, func(n *network, nodes []*node) {
+			time.Sleep(5 * time.Second)
+			for _, x := range nodes[1:] {
+				n.kill(x)
+			}
+			for i := 1; i < len(nodes); i++ {
+				nodes[i] = n.start(i, 0)
+			}
+			time.Sleep(time.Second)
+			synctest.Wait()
+			is.New(n.t).True(isRemembered(nodes[13]))
+		})
+	})
+	t.Run("all restart", func(t *testing.T) {
+		newNetwork(t, 29, 0, 4).runMesh(20, func(n *network, nodes []*node) {
+			time.Sleep(5 * time.Second)
+			for _, x := range nodes {
+				n.kill(x)
+			}
+			for i := range nodes {
+				nodes[i] = n.start(i, 0)
+			}
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+			for _, x := range nodes {
+				is.New(n.t).True(!isRemembered(x))
+			}
+		})
+	})
+}
--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -66,7 +66,10 @@
 	wake    chan struct{}
 	done    chan struct{}
 
-	recovered chan struct{} // closed when the round of startRecovery has ended
+	recovered      chan struct{} // closed when the round of startRecovery has ended
+	remembered     chan struct{} // see Remembered
+	rememberedOnce sync.Once
+	started        time.Time
 
 	mu      sync.Mutex
 	actions []func()
@@ -125,6 +128,9 @@
 		departed:  func(wire.Departure) {},
 		recovered: make(chan struct{}),
 
+		remembered: make(chan struct{}),
+		started:    time.Now(),
+
 		self:         &entry{},
 		table:        newTable(),
 		queue:        newUpdateQueue(),
--- a/core/gossiper/merge.go
+++ b/core/gossiper/merge.go
@@ -96,7 +96,7 @@
 		return
 	}
 	g.log.Info("new member", "member", m.Name, "addr", m.Addr, "state", m.State)
-	g.table.put(&entry{Member: m, stateSince: res.now})
+	g.table.put(&entry{Member: m, stateSince: res.now, knownSince: res.now})
 	g.publishPending = true
 	g.queueChange(m.Name, res)
 }
@@ -123,6 +123,7 @@
 	if m.State != e.State {
 		g.log.Info("member changed state", "member", m.Name, "from", e.State, "to", m.State)
 	}
+	e.renewed = res.now
 	g.store(e, m, res.now)
 	switch m.State {
 	case wire.Dead:
--- a/core/gossiper/probe.go
+++ b/core/gossiper/probe.go
@@ -45,7 +45,7 @@
 		if res.senderOutdated {
 			first = append(first, g.onePerDomain()...)
 		}
-		g.sendTo(g.replyTarget(d), wire.Gossip{Kind: kindAck, Seq: d.msg.Seq}, first...)
+		g.sendTo(g.replyTarget(d), wire.Gossip{Kind: kindAck, Seq: d.msg.Seq, Age: g.knownFor(d.msg.From, now)}, first...)
 	case kindRelay:
 		g.handleRelay(d, now)
 	case kindAck:
@@ -70,6 +70,7 @@
 		g.sendTo(r.requester, wire.Gossip{Kind: kindAck, From: d.msg.From, Seq: r.seq})
 		return
 	}
+	g.recordAge(d.msg.Age)
 	if g.probe != nil && g.probe.seq == d.msg.Seq && g.probe.name == d.msg.From {
 		g.probe = nil
 	}
--- a/core/gossiper/table.go
+++ b/core/gossiper/table.go
@@ -14,6 +14,8 @@
 type entry struct {
 	wire.Member
 	stateSince  time.Time // when the member entered its state
+	knownSince  time.Time // when this member first heard of it, in any incarnation
+	renewed     time.Time // when its incarnation last grew
 	lastPing    time.Time // last ping sent while the member is suspect
 	encodedSize int
 	nameHash    uint64 // determines the bucket in exchanges
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -353,6 +353,10 @@
 
 // Gossip is one datagram, or one message of an exchange, between members.
 type Gossip struct {
+	// In an ack to a member that may have restarted, the time for which its sender
+	// has known the receiver, in nanoseconds.
+	Age time.Duration `json:"age,omitempty,omitzero"`
+
 	// Name of the sender.
 	From string `json:"from"`
 
