Keep the leadership away from controllers that stop as planned

Callers saw: two controllers of three, each with a successor that was up, got SIGTERM at the same time, and from then on the acknowledged configuration could be neither read nor changed.

Cause: a new leader does not know who has asked its predecessor to be replaced. Two controllers that stopped together passed the leadership to each other until one of them ended with its vote and the other had no other node to try, so that two of three voters were gone.

Change: the planned stop is one operation, Leave, which steps by the current role. A stopping node says in every packet that it wants no vote and takes no leadership; a leader transfers only to a voter that has replied to it in its term and wants to vote, and looks again at each tick. If all voters stop, the leader promotes a successor first. A leader that has not heard a learner yet no longer says that there is no successor.

--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -63,8 +63,7 @@
 	proposals []proposal
 	reads     []uint64 // request IDs
 	cancelled []uint64 // IDs of proposals and reads whose callers no longer wait
-	transfer  bool
-	leave     bool // the node stops as planned and hands over its vote
+	leave     bool     // the node stops as planned and hands over the leadership and its vote
 }
 
 // output is what the runtime does after a step, in this order: send beforeSync, store joinedCluster, persist install
@@ -162,9 +161,6 @@
 	for _, id := range in.reads {
 		c.addRead(id)
 	}
-	if in.transfer {
-		c.startTransfer()
-	}
 	if in.leave {
 		c.startLeave()
 	}
@@ -228,11 +224,11 @@
 	c.resendProposals()
 	c.resendReads()
 	c.joinIfLeaderless()
-	c.requestLeave()
 	if c.role == leader {
 		c.runLeaderTimers()
 		return
 	}
+	c.continueLeave()
 	if c.tick < c.electionDeadline {
 		return
 	}
@@ -256,6 +252,7 @@
 	if c.transferTarget != "" && c.tick >= c.transferDeadline {
 		c.transferTarget = ""
 	}
+	c.continueLeave()
 	if c.tick < c.nextHeartbeat {
 		return
 	}
--- a/controller/replicator/election.go
+++ b/controller/replicator/election.go
@@ -168,26 +168,23 @@
 	}
 }
 
-// startTransfer starts to transfer leadership to the active voter with the highest matching index.
+// startTransfer starts to transfer leadership to the voter with the highest matching index among those that may lead.
 func (c *core) startTransfer() {
-	if c.role != leader {
-		return
-	}
 	var best *peer
 	for _, n := range c.log.nodes {
 		p := c.peers[n.ID]
-		if p == nil || !n.Voter || !c.isActive(p) || c.isLeaving(n.ID) || best != nil && p.matchIndex <= best.matchIndex {
-			continue
+		if c.canLead(p) && (best == nil || p.matchIndex > best.matchIndex) {
+			best = p
 		}
-		best = p
 	}
+	c.transferTarget = ""
 	if best != nil {
 		c.transferTarget, c.transferDeadline = best.node.ID, c.tick+electionTicks
 	}
 }
 
 func (c *core) onTransfer(p wire.Packet) {
-	if c.role == follower && c.lead.ID == p.From.ID && c.isVoter(c.self.ID) {
+	if c.role == follower && c.lead.ID == p.From.ID && c.isVoter(c.self.ID) && !c.leave.leaving {
 		c.startElection()
 	}
 }
--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -10,7 +10,8 @@
 // peer is what the leader knows about another node.
 type peer struct {
 	node       wire.Node // as in the membership
-	wantsVote  bool      // the settings of the peer say that it should vote
+	wantsVote  bool      // the settings of the peer say that it should vote, and it is not about to stop
+	replied    bool      // the peer has replied to this leader, so that wantsVote is known
 	domain     string    // failure domain in the settings of the peer; empty until its first reply
 	matchIndex uint64    // last entry known to be durable on the peer
 	nextIndex  uint64    // next entry to send
@@ -221,8 +222,11 @@
 		return nil
 	}
 	p.confirmedLive = p.confirmedLive || reply.Seq > p.addedRound
-	p.lastActive, p.wantsVote, p.clock, p.ackedRound = c.tick, reply.From.Voter, reply.Clock, max(p.ackedRound, reply.Seq)
-	p.domain = reply.From.Domain
+	if reply.Seq >= p.ackedRound { // not a delayed reply from before the peer began to leave
+		p.wantsVote = reply.From.Voter
+	}
+	p.lastActive, p.clock, p.ackedRound = c.tick, reply.Clock, max(p.ackedRound, reply.Seq)
+	p.domain, p.replied = reply.From.Domain, true
 	c.completeRounds()
 	return p
 }
--- a/controller/replicator/leave.go
+++ b/controller/replicator/leave.go
@@ -2,7 +2,7 @@
 
 import "bluebellhoist/core/wire"
 
-// leaveState is what a node knows about voters that leave as planned, itself or others.
+// leaveState is what a node knows about nodes that leave as planned, itself or others.
 type leaveState struct {
 	leaving  bool              // this node is about to stop
 	refused  bool              // the leader has no node to take the place of this one
@@ -10,27 +10,52 @@
 	requests map[string]uint64 // tick of the last request by node ID; leader only
 }
 
-// startLeave begins to hand over the vote of this node. It no longer wants one.
+// startLeave begins a planned stop: this node transfers the leadership if it leads, and then hands over its vote. From now on
+// every reply says that it wants no vote, so that no leader transfers the leadership to it.
 func (c *core) startLeave() {
 	c.leave.leaving, c.leave.refused = true, false
 	c.leave.nextSend = c.tick
 	c.self.Voter = false
-	c.requestLeave()
+	c.continueLeave()
+}
+
+// continueLeave takes the next step of a planned stop, if there is one. A node may be elected while it leaves, and a transfer
+// may fail, so the step depends only on the current role.
+func (c *core) continueLeave() {
+	switch {
+	case !c.leave.leaving || c.leaveEnded():
+	case c.role == leader:
+		c.transferWhenPossible()
+	default:
+		c.requestLeave()
+	}
+}
+
+// transferWhenPossible transfers the leadership to a voter that stays. If there is none yet, the leader goes on and promotes
+// a learner first.
+func (c *core) transferWhenPossible() {
+	if p := c.peers[c.transferTarget]; p != nil && c.canLead(p) {
+		return
+	}
+	c.startTransfer()
 }
 
 // requestLeave asks the leader to replace this node as a voter, until that is done.
 func (c *core) requestLeave() {
-	if !c.leave.leaving || c.leaveEnded() || c.lead.ID == "" || c.tick < c.leave.nextSend {
+	if c.lead.ID == "" || c.tick < c.leave.nextSend {
 		return
 	}
 	c.leave.nextSend = c.tick + leaveRetryTicks
 	c.sendAfterSync(c.lead.Addr, c.packet(kindLeave, c.lead.ID))
 }
 
-// leaveEnded reports whether nothing more can be done for a leaving node: it is no voter, or it has to keep its vote since it
-// leads or no node can take its place.
+// leaveEnded reports whether nothing more can be done for a leaving node: it has no vote, or it has to keep its vote or its
+// leadership since no node can take its place.
 func (c *core) leaveEnded() bool {
-	return c.leave.refused || c.role == leader || c.hasLeft()
+	if c.role == leader {
+		return !c.hasNextLeader()
+	}
+	return c.leave.refused || c.hasLeft()
 }
 
 // hasLeft reports whether the committed membership has this node as no voter.
@@ -58,26 +83,50 @@
 	c.leave.refused = c.leave.leaving && p.Reject
 }
 
-// isLeaving reports whether a node has lately asked to be replaced as a voter.
+// isLeaving reports whether a node has lately asked to be replaced as a voter, or is this node and about to stop.
 func (c *core) isLeaving(id string) bool {
+	if id == c.self.ID {
+		return c.leave.leaving
+	}
 	tick, ok := c.leave.requests[id]
 	return ok && c.role == leader && c.tick-tick < leaveRequestTicks
 }
 
-// leavingVoter returns a voter that has asked to be replaced.
-func (c *core) leavingVoter() (wire.Node, bool) {
+// leavingVoter returns a voter that is to be replaced. The leader itself comes last.
+func (c *core) leavingVoter() (leaving wire.Node, ok bool) {
 	for _, n := range c.log.nodes {
-		if n.Voter && c.isLeaving(n.ID) {
-			return n, true
+		if n.Voter && c.isLeaving(n.ID) && (!ok || n.ID != c.self.ID) {
+			leaving, ok = n, true
 		}
 	}
-	return wire.Node{}, false
+	return leaving, ok
+}
+
+// mayVote reports whether an active peer wants to vote. Until its first reply to this leader it is assumed to.
+func (c *core) mayVote(p *peer) bool {
+	return p != nil && c.isActive(p) && !c.isLeaving(p.node.ID) && (p.wantsVote || !p.replied)
+}
+
+// canLead reports whether the leadership may be transferred to a peer: an active voter that has told this
+// leader that it wants to vote, so that it is not about to stop itself.
+func (c *core) canLead(p *peer) bool {
+	return p != nil && p.node.Voter && p.replied && c.mayVote(p)
+}
+
+// hasNextLeader reports whether another node may lead, perhaps after a promotion.
+func (c *core) hasNextLeader() bool {
+	for _, p := range c.peers {
+		if c.mayVote(p) {
+			return true
+		}
+	}
+	return false
 }
 
-// hasSuccessor reports whether an active learner wants to vote. It may have to catch up first.
+// hasSuccessor reports whether a learner may take over a vote. It may have to catch up first.
 func (c *core) hasSuccessor() bool {
 	for _, n := range c.log.nodes {
-		if p := c.peers[n.ID]; p != nil && !n.Voter && c.isActive(p) && p.wantsVote {
+		if !n.Voter && c.mayVote(c.peers[n.ID]) {
 			return true
 		}
 	}
--- a/controller/replicator/placement.go
+++ b/controller/replicator/placement.go
@@ -8,7 +8,7 @@
 	var best wire.Node
 	found := false
 	for _, n := range c.log.nodes {
-		if !c.canPromote(n) || !c.peers[n.ID].wantsVote {
+		if !c.canPromote(n) || !c.mayVote(c.peers[n.ID]) {
 			continue
 		}
 		if _, ok := c.sameNameNode(n); ok {
--- a/controller/replicator/replicator.go
+++ b/controller/replicator/replicator.go
@@ -51,7 +51,6 @@
 	nextID       uint64
 	pending      map[uint64]*request
 	appliedBytes int // data applied since the last checkpoint, without compression
-	transfers    []*request
 	leaves       []*request
 }
 
@@ -166,7 +165,6 @@
 		return err
 	}
 	r.publishStatus()
-	r.completeTransfers()
 	r.completeLeaves()
 	return r.core.invariantErr
 }
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -44,9 +44,9 @@
 	stopLimit = 10 * time.Second
 	// exitReserve is the part of the configured grace that is reserved for the exit of the process.
 	exitReserve = 500 * time.Millisecond
-	// handOverLimit bounds the wait until another controller has taken over the vote. One that has just started may first have
-	// to receive the state.
-	handOverLimit = 1500 * time.Millisecond
+	// handOverLimit bounds the wait until other controllers have taken over the leadership and the vote. An election may come in
+	// between, and a successor that has just started may first have to receive the state.
+	handOverLimit = 3 * time.Second
 	// leaveLimit bounds the wait until other gossip members have confirmed the leave.
 	leaveLimit = time.Second
 )
--- a/controller/runner/stop.go
+++ b/controller/runner/stop.go
@@ -41,26 +41,16 @@
 // handOver transfers the leadership, and gives the vote to another controller if there is one without a vote, so that this one
 // no longer counts for the majority.
 func (r *Runner) handOver(ctx context.Context) {
-	if err := r.replicator.Transfer(ctx); err != nil {
-		r.log.Warn("leadership not transferred", "error", err)
-		return
-	}
-	if !r.replicator.Status().Self.Voter {
-		return
-	}
+	votes := r.replicator.Status().Self.Voter
 	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
 	defer cancel()
 	err := r.replicator.Leave(ctx)
-	for errors.Is(err, replicator.ErrTransfer) { // this node was elected meanwhile
-		if err = r.replicator.Transfer(ctx); err == nil {
-			err = r.replicator.Leave(ctx)
-			continue
-		}
-		break
-	}
-	if err != nil {
+	switch {
+	case errors.Is(err, replicator.ErrTransfer):
+		r.log.Warn("leadership and vote kept", "reason", err)
+	case err != nil:
 		r.log.Info("vote kept", "reason", err)
-		return
+	case votes:
+		r.log.Info("vote handed over")
 	}
-	r.log.Info("vote handed over")
 }
