Confirm that a stopping learner will not be promoted

Found by reading after the fault of two planned stops at once; no caller has seen it. Cause: a learner ended its planned stop at once, on the word of its own log, while the leader could still promote it on the word of an earlier reply. The membership then counted a node that is gone, and the loss of one more disk within 2.5 s ended the log.

Change: a learner asks the leader as a voter does, and ends when the leader of its term confirms that the committed membership has it without a vote. A leader promotes no node that has asked, and a delayed reply no longer says that a node wants to vote.

--- a/controller/replicator/leave.go
+++ b/controller/replicator/leave.go
@@ -4,16 +4,17 @@
 
 // leaveState is what a node knows about nodes that leave as planned, itself or others.
 type leaveState struct {
-	leaving  bool              // this node is about to stop
-	refused  bool              // the leader has no node to take the place of this one
-	nextSend uint64            // tick of the next request
-	requests map[string]uint64 // tick of the last request by node ID; leader only
+	leaving   bool              // this node is about to stop
+	confirmed bool              // the leader has committed that this node has no vote, and will not give it one
+	refused   bool              // the leader has no node to take the place of this one
+	nextSend  uint64            // tick of the next request
+	requests  map[string]uint64 // tick of the last request by node ID; leader only
 }
 
 // startLeave begins a planned stop: this node transfers the leadership if it leads, and then hands over its vote. From now on
 // every reply says that it wants no vote, so that no leader transfers the leadership to it.
 func (c *core) startLeave() {
-	c.leave.leaving, c.leave.refused = true, false
+	c.leave.leaving, c.leave.confirmed, c.leave.refused = true, false, false
 	c.leave.nextSend = c.tick
 	c.self.Voter = false
 	c.continueLeave()
@@ -40,7 +41,8 @@
 	c.startTransfer()
 }
 
-// requestLeave asks the leader to replace this node as a voter, until that is done.
+// requestLeave asks the leader to replace this node as a voter, until that is confirmed. A learner asks too, since its
+// promotion may be on the way.
 func (c *core) requestLeave() {
 	if c.lead.ID == "" || c.tick < c.leave.nextSend {
 		return
@@ -55,32 +57,39 @@
 	if c.role == leader {
 		return !c.hasNextLeader()
 	}
-	return c.leave.refused || c.hasLeft()
+	return c.leave.refused || c.leave.confirmed
 }
 
-// hasLeft reports whether the committed membership has this node as no voter.
-func (c *core) hasLeft() bool {
-	return !c.isVoter(c.self.ID) && c.log.nodesIndex <= c.log.commit
-}
-
-// onLeave replaces the sender as a voter, or replies that no node can take its place. Without one the sender keeps its vote:
-// a smaller group of voters would not be able to lose a disk before the sender is back.
+// onLeave replaces the sender as a voter, confirms that it has no vote, or replies that no node can take its place. Without
+// one the sender keeps its vote: a smaller group of voters would not be able to lose a disk before the sender is back.
 func (c *core) onLeave(p wire.Packet) {
-	if c.role != leader || !c.isVoter(p.From.ID) {
+	if c.role != leader {
 		return
 	}
 	c.leave.requests[p.From.ID] = c.tick
-	if c.maxVoters == 0 || c.voterCount() <= c.maxVoters && !c.hasSuccessor() {
-		reply := c.packet(kindLeaveReply, p.From.ID)
-		reply.Reject = true
-		c.sendAfterSync(p.From.Addr, reply)
-		return
+	switch {
+	case !c.isVoter(p.From.ID):
+		if c.log.nodesIndex <= c.log.commit && c.ownTermCommitted() {
+			c.replyToLeave(p, false)
+		}
+	case c.maxVoters == 0 || c.voterCount() <= c.maxVoters && !c.hasSuccessor():
+		c.replyToLeave(p, true)
+	default:
+		c.maintainMembership()
 	}
-	c.maintainMembership()
 }
 
+func (c *core) replyToLeave(p wire.Packet, reject bool) {
+	reply := c.packet(kindLeaveReply, p.From.ID)
+	reply.Reject = reject
+	c.sendAfterSync(p.From.Addr, reply)
+}
+
+// onLeaveReply ignores a reply of an earlier leader, whose membership may be outdated.
 func (c *core) onLeaveReply(p wire.Packet) {
-	c.leave.refused = c.leave.leaving && p.Reject
+	if c.leave.leaving && p.Term == c.term && p.From.ID == c.lead.ID {
+		c.leave.refused, c.leave.confirmed = p.Reject, !p.Reject
+	}
 }
 
 // isLeaving reports whether a node has lately asked to be replaced as a voter, or is this node and about to stop.
--- a/controller/replicator/leave_test.go
+++ b/controller/replicator/leave_test.go
@@ -124,6 +124,22 @@
 			s.run(leaveTicks * stepsPerTick)
 			s.requireVoters(3, s.nodes[leading].self.ID, s.nodes[next].self.ID)
 		})
+		t.Run(fmt.Sprint("successor stops while it is promoted, seed ", seed), func(t *testing.T) {
+			s := newLeaveSim(t, 4, seed)
+			left := s.followingVoter()
+			next := s.indexOf(func(c *core) bool { return !c.isVoter(c.self.ID) })
+			s.beginLeave(left)
+			s.run(s.rand.IntN(electionTicks * stepsPerTick / 2))
+			s.beginLeave(next)
+			for i := 0; !s.nodes[next].core.leaveEnded() && i < leaveAllTicks*stepsPerTick; i++ {
+				s.run(1)
+			}
+			s.partitionOf[next] = 1
+			s.run(electionTicks * stepsPerTick)
+			if !s.nodes[next].core.leave.refused { // it ended without a vote
+				s.requireVoters(3, s.nodes[next].self.ID)
+			}
+		})
 		t.Run(fmt.Sprint("leader fails in between, seed ", seed), func(t *testing.T) {
 			s := newLeaveSim(t, 4, seed)
 			leading := s.indexOf(func(c *core) bool { return c.role == leader })
--- a/controller/replicator/request.go
+++ b/controller/replicator/request.go
@@ -128,7 +128,7 @@
 	switch {
 	case r.core.role == leader:
 		err = ErrTransfer
-	case !r.core.hasLeft():
+	case r.core.leave.refused:
 		err = ErrNoSuccessor
 	}
 	for _, req := range r.leaves {
--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -133,7 +133,7 @@
 	}
 	for i, n := range s.nodes {
 		if n.stopStep > 0 && s.now >= n.stopStep {
-			if n.core != nil && n.core.leave.leaving && n.core.hasLeft() {
+			if n.core != nil && n.core.leave.confirmed {
 				s.handedOver++
 			}
 			n.core, n.stopStep = nil, 0
