Read all JSON from outside with one strict decoder

Cause: settings, batches, announcements, reports and deregistrations of upstreams were read by encoding/json, which takes the last of repeated keys, ignores their case and replaces bytes that are not UTF-8. Change: core/loader decodes with the library that platform configurations already use, and refuses such text. Errors name the place and what the field must be, and contain no value.

--- a/core/compiler/text_test.go
+++ b/core/compiler/text_test.go
@@ -26,6 +26,10 @@
 		{"negative limit", `"a": {"limit": "-1s"}`, "limit -1s"},
 		{"name", `"A": {}`, "name must match"},
 		{"unknown field", `"a": {"need": []}`, `unknown field "need"`},
+		{"name that is not UTF-8", "\"a\": {\"class\": \"\xfc\"}", "invalid UTF-8"},
+		{"service twice", `"a": {}, "a": {"once": true}`, `duplicate object member name "a"`},
+		{"field twice", `"a": {"limit": "1s", "limit": "2s"}`, `duplicate object member name "limit"`},
+		{"field in another case", `"a": {"Limit": "1s"}`, `unknown field "Limit"`},
 		{"too deep", dependencyChain(17), "longer than 16"},
 	}
 	for _, c := range cases {
--- a/core/loader/loader.go
+++ b/core/loader/loader.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -57,13 +56,5 @@
 	if err != nil {
 		return fmt.Errorf("%w: %s", ErrInvalid, withoutLiteral(err.Error()))
 	}
-	dec := json.NewDecoder(bytes.NewReader(plain))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return fmt.Errorf("%w: %v", ErrInvalid, err)
-	}
-	if dec.More() {
-		return fmt.Errorf("%w: data after the first value", ErrInvalid)
-	}
-	return nil
+	return KnownJSON(plain, v)
 }
--- a/daemon/announcer/api.go
+++ b/daemon/announcer/api.go
@@ -1,7 +1,6 @@
 package announcer
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"bluebellhoist/core/loader"
 	"bluebellhoist/core/wire"
 )
 
@@ -92,13 +92,12 @@
 // parse decodes and validates an announcement. It returns the upstream and the sequence number of the announcement.
 func parse(body io.Reader) (wire.Upstream, uint64, error) {
 	var in announcement
-	dec := json.NewDecoder(body)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&in); err != nil {
-		return wire.Upstream{}, 0, decodeError(err)
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return wire.Upstream{}, 0, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return wire.Upstream{}, 0, fmt.Errorf("%w: data after the first value", ErrInvalid)
+	if err := loader.KnownJSON(data, &in); err != nil {
+		return wire.Upstream{}, 0, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	addr, err := netip.ParseAddrPort(in.Address)
 	addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
@@ -114,12 +113,3 @@
 	}
 	return u, in.Seq, nil
 }
-
-// decodeError wraps an error of the decoder in ErrInvalid and names the field if the decoder does.
-func decodeError(err error) error {
-	var typed *json.UnmarshalTypeError
-	if errors.As(err, &typed) && typed.Field != "" {
-		return fmt.Errorf("%w: %s cannot be a %s", ErrInvalid, typed.Field, typed.Value)
-	}
-	return fmt.Errorf("%w: %v", ErrInvalid, err)
-}
