Log when a controller stops and starts being fresh

After an incident only the gauge bluebell_controller_fresh showed since when a controller was cut off or behind, and gauges are gone with the process.

--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os/signal"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,6 +63,7 @@
 	send          func(netip.AddrPort, wire.Packet) // sends a packet to a peer; replaced in tests
 	messenger     *messenger.Messenger
 	replicator    *replicator.Replicator
+	wasFresh      atomic.Bool // result of the last call of fresh
 	distributor   *distributor.Distributor
 	administrator *administrator.Administrator
 	expirer       *expirer.Expirer
--- a/controller/runner/status.go
+++ b/controller/runner/status.go
@@ -6,9 +6,20 @@
 	"bluebellhoist/core/presenter"
 )
 
-// fresh reports whether the node holds every change that was acknowledged more than maxContactAge ago.
+// fresh reports whether the node holds every change that was acknowledged more than maxContactAge ago. It logs when that begins and
+// ends; sessions ask at least twice a second.
 func (r *Runner) fresh() bool {
-	return time.Since(r.replicator.Status().CurrentAt) < maxContactAge
+	s := r.replicator.Status()
+	age := time.Since(s.CurrentAt)
+	fresh := age < maxContactAge
+	switch {
+	case r.wasFresh.Swap(fresh) == fresh:
+	case fresh:
+		r.log.Info("controller is fresh", "applied", s.Applied, "term", s.Term)
+	default:
+		r.log.Warn("controller is no longer fresh", "age", age.String(), "applied", s.Applied, "term", s.Term, "leader", s.Leader.Name)
+	}
+	return fresh
 }
 
 // inContact reports whether the node heard from a leader with a majority within maxContactAge. Its view may be behind.
