Let daemons hear of new versions from a second controller

Callers were refused a route by an older configuration up to 3.3 s after the newer one was acknowledged (2 s are allowed).

Cause: a daemon heard of versions from one controller only, so that it had to find out that this one had failed: 1.2 s until the controller counts as cut off, up to 0.5 s until a heartbeat says so, 1.0 to 1.5 s until the daemon leaves, and a dial. A controller that was behind and counted as fresh was never left.

Now each daemon also watches a second controller, in another failure domain if there is one, which sends its version in heartbeats and at once when it changes. If the daemon's own controller has not sent, or announced as a large update, a version 300 ms after the daemon heard of it, the daemon moves to the watched one. What holds up the own controller no longer matters. A watched controller that lacks a majority or a version of the daemon is exchanged after 1 s. A daemon goes back to its own failure domain only when the watch shows that it can, and tries the watched controller first when its own has ended.

Tests changed: fake controllers of the subscriber tests tell watches from sessions, and in TestReturn the local one answers watches, without which daemons no longer go back.

--- a/controller/distributor/distributor.go
+++ b/controller/distributor/distributor.go
@@ -28,6 +28,9 @@
 	barrierTimeout = 5 * time.Second
 	// proposeTimeout is shorter than the time after which a daemon ends a session because a request got no reply.
 	proposeTimeout = 700 * time.Millisecond
+	// announceBytes is the size from which an update is announced. A daemon then waits for it, although a slow link may need longer
+	// than the time after which the daemon moves to another controller that has the version.
+	announceBytes = 8 << 10
 	// maxFrameBytes bounds a frame from a daemon. The largest one finishes a claim with a body of up to 1 KiB.
 	maxFrameBytes = 64 << 10
 	// maxProposals bounds the claims in flight per daemon.
@@ -158,7 +161,7 @@
 	defer d.mu.Unlock()
 	all := make([]presenter.Daemon, 0, len(d.sessions))
 	for s := range d.sessions {
-		if hello := s.hello.Load(); hello != nil {
+		if hello := s.hello.Load(); hello != nil && !hello.Watch {
 			all = append(all, presenter.Daemon{Name: hello.Name, Domain: hello.Domain, Batch: hello.Batch, Held: s.heldVersion.Load()})
 		}
 	}
--- a/controller/distributor/session.go
+++ b/controller/distributor/session.go
@@ -141,6 +141,9 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	if hello.Watch {
+		return s.serveWatch(ctx, hello.Batch)
+	}
 	if to, ok := s.distributor.referTo(hello.Domain); ok && !hello.Stay {
 		return s.conn.Send(ctx, wire.Frame{Refer: &wire.Refer{Addr: to, Domain: hello.Domain}})
 	}
@@ -235,6 +238,11 @@
 		return sent, err
 	}
 	batch, _ := view.Batch(hello.Batch)
+	if len(data) >= announceBytes {
+		if err := s.conn.Send(ctx, wire.Frame{Coming: batch.Version}); err != nil {
+			return sent, err
+		}
+	}
 	s.lastUpdate.Store(&sentUpdate{batch: hello.Batch, version: batch.Version, at: time.Now()})
 	if err := s.conn.SendEncoded(ctx, data); err != nil {
 		return sent, err
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -299,6 +299,9 @@
 	// Claim corresponds to the JSON schema field "claim".
 	Claim *Claim `json:"claim,omitempty,omitzero"`
 
+	// Version of the large update in the next frame.
+	Coming uint64 `json:"coming,omitempty,omitzero"`
+
 	// Delta corresponds to the JSON schema field "delta".
 	Delta *Delta `json:"delta,omitempty,omitzero"`
 
@@ -405,7 +408,8 @@
 	// after the ask arrived. Set only with ask.
 	Newest uint64 `json:"newest,omitempty,omitzero"`
 
-	// From a controller: version last sent to the daemon. A daemon does not set it.
+	// From a controller: version last sent to the daemon, or the version of the batch
+	// if the daemon watches. A daemon does not set it.
 	Version uint64 `json:"version"`
 }
 
@@ -434,6 +438,10 @@
 
 	// Checksum of the snapshot in effect.
 	Sum uint64 `json:"sum"`
+
+	// True if the daemon only asks to hear of new versions. The controller then sends
+	// heartbeats and no updates.
+	Watch bool `json:"watch,omitempty,omitzero"`
 }
 
 // Identity identifies the owner of a data folder.
--- a/daemon/subscriber/controller_test.go
+++ b/daemon/subscriber/controller_test.go
@@ -15,15 +15,16 @@
 	"bluebellhoist/core/wire"
 )
 
-// fakeController is an HTTP server in memory that accepts daemon sessions and passes each of them to serve.
+// fakeController is an HTTP server in memory that accepts daemon sessions and watches and passes each of them to its function.
 type fakeController struct {
-	t     *testing.T
-	conns chan net.Conn
-	serve func(*fakeSession)
+	t          *testing.T
+	conns      chan net.Conn
+	serve      func(*fakeSession)
+	serveWatch func(*fakeSession) // sends nothing unless a test sets it
 }
 
 func newFakeController(ctx context.Context, t *testing.T, serve func(*fakeSession)) *fakeController {
-	c := &fakeController{t: t, conns: make(chan net.Conn), serve: serve}
+	c := &fakeController{t: t, conns: make(chan net.Conn), serve: serve, serveWatch: (*fakeSession).drain}
 	server := &http.Server{Handler: c}
 	go func() { _ = server.Serve(c) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -58,14 +59,25 @@
 		return
 	}
 	defer func() { _ = conn.CloseNow() }()
-	c.serve(&fakeSession{t: c.t, ctx: r.Context(), conn: conn})
+	p := &fakeSession{t: c.t, ctx: r.Context(), conn: conn}
+	hello, ok := p.receiveAny()
+	if !ok {
+		return
+	}
+	if hello.Hello != nil && hello.Hello.Watch {
+		c.serveWatch(p)
+		return
+	}
+	p.first = &hello
+	c.serve(p)
 }
 
 // fakeSession is the controller's side of one session.
 type fakeSession struct {
-	t    *testing.T
-	ctx  context.Context
-	conn *websocket.Conn
+	t     *testing.T
+	ctx   context.Context
+	conn  *websocket.Conn
+	first *wire.Frame // received and not yet returned by receiveAny; nil if none
 }
 
 func (p *fakeSession) send(frame wire.Frame) {
@@ -79,13 +91,9 @@
 // receive returns the next frame that is not a heartbeat, or false at the end of the session.
 func (p *fakeSession) receive() (wire.Frame, bool) {
 	for {
-		var frame wire.Frame
-		_, data, err := p.conn.Read(p.ctx)
-		if err != nil || encoder.Unmarshal(data, &frame) != nil {
-			return frame, false
-		}
-		if frame.Heartbeat == nil {
-			return frame, true
+		frame, ok := p.receiveAny()
+		if !ok || frame.Heartbeat == nil {
+			return frame, ok
 		}
 	}
 }
--- a/daemon/subscriber/proof_test.go
+++ b/daemon/subscriber/proof_test.go
@@ -39,6 +39,11 @@
 
 // receiveAny returns the next frame, or false at the end of the session.
 func (p *fakeSession) receiveAny() (wire.Frame, bool) {
+	if p.first != nil {
+		frame := *p.first
+		p.first = nil
+		return frame, true
+	}
 	_, data, err := p.conn.Read(p.ctx)
 	if err != nil {
 		return wire.Frame{}, false
--- a/daemon/subscriber/selection.go
+++ b/daemon/subscriber/selection.go
@@ -14,9 +14,9 @@
 // the daemon does not fail back to that controller.
 const failbackDelay = 10 * time.Second
 
-// noMajorityDelay is the time after a session that ended because its controller lacked a majority during which the daemon
-// prefers other controllers.
-const noMajorityDelay = 10 * time.Second
+// laggingDelay is the time after a session that ended because its controller lacked a majority or a version during which the
+// daemon prefers other controllers.
+const laggingDelay = 10 * time.Second
 
 // errFailback ends a session because a controller of the daemon's own failure domain can be used again.
 var errFailback = errors.New("a controller in the same failure domain is available")
@@ -65,15 +65,14 @@
 	return c.Domain == s.domain
 }
 
-// canFailBack reports whether the current controller is in another failure domain and one in the daemon's own failure
-// domain is available in its place.
+// canFailBack reports whether the current controller is in another failure domain and the watch shows that one in the daemon's
+// own failure domain can take its place. A daemon that lacks a version waits for it first.
 func (s *Subscriber) canFailBack(current Controller, now time.Time) bool {
-	if s.sameDomain(current) {
+	c := s.standby.Load()
+	if c == nil || s.sameDomain(current) || !s.sameDomain(*c) || s.lag.latest() > s.heldVersion() {
 		return false
 	}
-	return slices.ContainsFunc(s.allControllers(), func(c Controller) bool {
-		return c.Addr != current.Addr && s.sameDomain(c) && now.Sub(s.lastSessionEnd[c.Addr]) >= failbackDelay && !s.lackedMajority(c, now)
-	})
+	return now.Sub(s.lastSessionEnd[c.Addr]) >= failbackDelay && !s.lagged(*c, now)
 }
 
 // recordSessionEnd records when a session with a controller of the own failure domain ended. It also removes entries older
@@ -89,26 +88,33 @@
 	}
 }
 
-// lackedMajority reports whether the daemon left the controller lately because it lacked a majority.
-func (s *Subscriber) lackedMajority(c Controller, now time.Time) bool {
-	left, ok := s.leftWithoutMajority[c.Addr]
-	return ok && now.Sub(left) < noMajorityDelay
+// lagged reports whether the daemon left the controller lately because it lacked a majority or a version.
+func (s *Subscriber) lagged(c Controller, now time.Time) bool {
+	left, ok := s.leftLagging[c.Addr]
+	return ok && now.Sub(left) < laggingDelay
 }
 
-// recordNoMajority records that the daemon leaves a controller because it lacks a majority. It also removes entries older than
-// noMajorityDelay, so the map stays small.
-func (s *Subscriber) recordNoMajority(c Controller, now time.Time) {
-	for addr, left := range s.leftWithoutMajority {
-		if now.Sub(left) >= noMajorityDelay {
-			delete(s.leftWithoutMajority, addr)
+// recordLagging records that the daemon leaves a controller because it lacks a majority or a version. It also removes entries older than
+// laggingDelay, so the map stays small.
+func (s *Subscriber) recordLagging(c Controller, now time.Time) {
+	for addr, left := range s.leftLagging {
+		if now.Sub(left) >= laggingDelay {
+			delete(s.leftLagging, addr)
 		}
 	}
-	s.leftWithoutMajority[c.Addr] = now
+	s.leftLagging[c.Addr] = now
 }
 
-// takeNext removes the first controller from the list that did not lack a majority lately, or else the first one.
+// takeNext removes the next controller to try from the list: the first one that the daemon did not leave lagging, or else the
+// first one. After those of the own failure domain it prefers the watched controller, which is known to answer.
 func (s *Subscriber) takeNext(list []Controller, now time.Time) (next Controller, rest []Controller) {
-	i := max(slices.IndexFunc(list, func(c Controller) bool { return !s.lackedMajority(c, now) }), 0)
+	i := max(slices.IndexFunc(list, func(c Controller) bool { return !s.lagged(c, now) }), 0)
+	if standby := s.standby.Load(); standby != nil && !s.sameDomain(list[i]) {
+		watched := slices.IndexFunc(list, func(c Controller) bool { return c.Addr == standby.Addr })
+		if watched >= 0 {
+			i = watched
+		}
+	}
 	next = list[i]
 	return next, slices.Delete(list, i, i+1)
 }
--- a/daemon/subscriber/selection_test.go
+++ b/daemon/subscriber/selection_test.go
@@ -82,6 +82,9 @@
 					localController.Addr:  newFakeController(ctx, t, c.serveLocal(&sessions)),
 					remoteController.Addr: newFakeController(ctx, t, serveWithHeartbeats(5, new(atomic.Int32))),
 				}
+				fakes[localController.Addr].serveWatch = func(p *fakeSession) {
+					p.sendHeartbeats(wire.Heartbeat{Version: 5, Fresh: true})
+				}
 				s := startSubscriber(ctx, t, fakes, subscriber.WithControllers(remoteController), subscriber.WithDiscovery(func() []subscriber.Controller {
 					if discovered.Load() {
 						return []subscriber.Controller{localController}
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -40,7 +40,8 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	outgoing     chan wire.Frame
-	lastReceived atomic.Int64 // time of the last frame, in nanoseconds since the Unix epoch
+	lastReceived atomic.Int64  // time of the last frame, in nanoseconds since the Unix epoch
+	announced    atomic.Uint64 // highest version that the controller has announced or sent
 
 	mu      sync.Mutex
 	ended   bool
@@ -53,16 +54,9 @@
 
 // serveSession connects to a controller, serves one session and reports whether the controller answered the hello with anything but a refusal.
 func (s *Subscriber) serveSession(ctx context.Context, to Controller, noReferral bool) (bool, error) {
-	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
-	defer cancelDial()
-	transport := inspector.New(&http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return s.dial(ctx, to.Addr)
-	}})
-	defer transport.CloseIdleConnections()
-	opts := &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}}
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+to.Addr.String()+"/v1/session", opts)
+	conn, err := s.connect(ctx, to)
 	if err != nil {
-		return false, fmt.Errorf("%w: %v", ErrSession, err)
+		return false, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -73,6 +67,22 @@
 	return established, fmt.Errorf("%w: %w", ErrSession, err)
 }
 
+// connect opens a connection to a controller.
+func (s *Subscriber) connect(ctx context.Context, to Controller) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	transport := inspector.New(&http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return s.dial(ctx, to.Addr)
+	}})
+	defer transport.CloseIdleConnections()
+	opts := &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}}
+	conn, _, err := websocket.Dial(ctx, "ws://"+to.Addr.String()+"/v1/session", opts)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrSession, err)
+	}
+	return conn, nil
+}
+
 // run serves the session until it ends. It reports the same as serveSession.
 func (c *session) run() (bool, error) {
 	c.subscriber.session.Store(c)
@@ -177,7 +187,13 @@
 		return newReferralError(*frame.Refer)
 	case frame.Gone != nil:
 		c.subscriber.recoverDepartures(frame.Gone.List)
-	case frame.Full != nil, frame.Delta != nil:
+	case frame.Coming != 0:
+		c.announced.Store(frame.Coming)
+	case frame.Full != nil:
+		c.announced.Store(frame.Full.Batch.Version)
+		return c.applyUpdate(ctx, frame)
+	case frame.Delta != nil:
+		c.announced.Store(frame.Delta.Version)
 		return c.applyUpdate(ctx, frame)
 	case frame.Heartbeat != nil:
 		return c.handleHeartbeat(ctx, *frame.Heartbeat)
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,7 +16,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bluebellhoist/core/compiler"
-	"bluebellhoist/core/waiter"
 	"bluebellhoist/core/wire"
 )
 
@@ -51,7 +51,8 @@
 	Region string         `json:"region"` // optional
 }
 
-// Subscriber follows the configuration of one batch. It holds at most one session at a time.
+// Subscriber follows the configuration of one batch. It holds at most one session at a time, and watches a second controller to
+// hear of versions that the session does not bring.
 type Subscriber struct {
 	name           string
 	domain         string
@@ -63,9 +64,15 @@
 	random         *rand.Rand
 	log            hclog.Logger
 	lastSessionEnd map[netip.AddrPort]time.Time // last session end by controller of the own failure domain; used by Run only
-	// leftWithoutMajority holds when the daemon left a controller because it lacked a majority; used by Run only.
-	leftWithoutMajority map[netip.AddrPort]time.Time
-	dial                func(context.Context, netip.AddrPort) (net.Conn, error)
+	// leftLagging holds when the daemon left a controller because it lacked a majority or a version; used by Run only.
+	leftLagging map[netip.AddrPort]time.Time
+	dial        func(context.Context, netip.AddrPort) (net.Conn, error)
+
+	moves   *mover
+	lag     lag
+	standby atomic.Pointer[Controller] // the watched controller while it has a majority and all versions of the daemon, else nil
+	// watchFailures holds when the watch of a controller failed or the daemon left it lagging; used by the watches only.
+	watchFailures map[netip.AddrPort]time.Time
 
 	departed      func([]wire.Departure)
 	recovered     chan struct{} // closed once the departures are known
@@ -137,9 +144,11 @@
 		departed:       func([]wire.Departure) {},
 		recovered:      make(chan struct{}),
 
-		leftWithoutMajority: map[netip.AddrPort]time.Time{},
-		clock:               func() (time.Duration, error) { return 0, errors.New("no clock") },
-		proofsNeeded:        func() bool { return false },
+		leftLagging:   map[netip.AddrPort]time.Time{},
+		moves:         newMover(),
+		watchFailures: map[netip.AddrPort]time.Time{},
+		clock:         func() (time.Duration, error) { return 0, errors.New("no clock") },
+		proofsNeeded:  func() bool { return false },
 		dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", addr.String())
 		},
@@ -155,6 +164,20 @@
 	return s.snapshot.Load()
 }
 
+// heldVersion returns the version in effect, or 0 if there is none yet.
+func (s *Subscriber) heldVersion() uint64 {
+	inEffect := s.Snapshot()
+	if inEffect == nil {
+		return 0
+	}
+	return inEffect.Version()
+}
+
+// NewestVersion returns the highest version that the daemon holds or has heard of, or 0.
+func (s *Subscriber) NewestVersion() uint64 {
+	return max(s.heldVersion(), s.lag.latest())
+}
+
 // Controller returns the controller that the daemon has a session with, or false without one.
 func (s *Subscriber) Controller() (Controller, bool) {
 	c := s.session.Load()
@@ -167,6 +190,18 @@
 // Run puts the stored snapshot in effect and then follows the configuration until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.loadStored()
+	ctx, cancel := context.WithCancel(ctx)
+	watches := make(chan error, 1)
+	random := rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
+	go func() { watches <- s.runWatches(ctx, random) }()
+	err := s.runSessions(ctx)
+	cancel()
+	<-watches // the error of ctx
+	return err
+}
+
+// runSessions keeps a session open until ctx ends.
+func (s *Subscriber) runSessions(ctx context.Context) error {
 	backoff := minBackoff
 	for {
 		established, err := s.tryControllers(ctx)
@@ -177,7 +212,7 @@
 			backoff = minBackoff
 		}
 		// Full jitter spreads the reconnects of all daemons after the controllers fail.
-		if err := s.sleepJitter(ctx, backoff); err != nil {
+		if err := s.pause(ctx, backoff); err != nil {
 			return err
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -190,11 +225,20 @@
 func (s *Subscriber) tryControllers(ctx context.Context) (bool, error) {
 	anyEstablished := false
 	localTried := false // whether a controller of the own failure domain was selected in this round
-	var c Controller
-	for untried := s.rankedControllers(); len(untried) > 0; {
-		c, untried = s.takeNext(untried, time.Now())
-		if anyEstablished && s.lackedMajority(c, time.Now()) {
-			return true, nil // the next round starts with those that were left earlier in this one
+	untried := s.rankedControllers()
+	for {
+		c, moving := s.moves.take()
+		switch {
+		case moving:
+			localTried = true
+			untried = slices.DeleteFunc(untried, func(o Controller) bool { return o.Addr == c.Addr })
+		case len(untried) == 0:
+			return anyEstablished, nil
+		default:
+			c, untried = s.takeNext(untried, time.Now())
+			if anyEstablished && s.lagged(c, time.Now()) {
+				return true, nil // the next round starts with those that were left earlier in this one
+			}
 		}
 		established, err := s.runSession(ctx, c, localTried)
 		anyEstablished = anyEstablished || established
@@ -208,17 +252,16 @@
 			return anyEstablished, ctx.Err()
 		}
 		localTried = localTried || s.sameDomain(c)
-		if err := s.sleepJitter(ctx, maxAttemptDelay); err != nil {
+		if err := s.pause(ctx, maxAttemptDelay); err != nil {
 			return anyEstablished, err
 		}
 	}
-	return anyEstablished, nil
 }
 
 // followReferral runs a session with the controller that a referral names. If no session is established, or that controller
-// lacked a majority lately, it runs one with the controller that sent the referral.
+// lacked a majority or a version lately, it runs one with the controller that sent the referral.
 func (s *Subscriber) followReferral(ctx context.Context, from, to Controller) (bool, error) {
-	if s.lackedMajority(to, time.Now()) {
+	if s.lagged(to, time.Now()) {
 		return s.runSession(ctx, from, true)
 	}
 	established, err := s.runSession(ctx, to, true)
@@ -230,10 +273,17 @@
 
 // runSession runs one session, logs its end, and reports whether it was established and why it ended.
 func (s *Subscriber) runSession(ctx context.Context, c Controller, noReferral bool) (bool, error) {
-	established, err := s.serveSession(ctx, c, noReferral)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s.moves.begin(c, cancel)
+	defer s.moves.end()
+	established, err := s.serveSession(attemptCtx, c, noReferral)
+	if errors.Is(context.Cause(attemptCtx), errBehind) {
+		err = fmt.Errorf("%w: %w", ErrSession, errBehind)
+	}
 	s.recordSessionEnd(c, time.Now())
-	if errors.Is(err, errNoMajority) {
-		s.recordNoMajority(c, time.Now())
+	if errors.Is(err, errNoMajority) || errors.Is(err, errBehind) {
+		s.recordLagging(c, time.Now())
 	}
 	if ctx.Err() == nil {
 		s.log.Info("session ended", "controller", c.Addr, "error", err)
@@ -241,9 +291,18 @@
 	return established, err
 }
 
-// sleepJitter sleeps for a random time below maxDelay.
-func (s *Subscriber) sleepJitter(ctx context.Context, maxDelay time.Duration) error {
-	return waiter.Sleep(ctx, time.Duration(s.random.Int64N(int64(maxDelay))))
+// pause waits for a random time below maxDelay, or until the daemon has to move to another controller.
+func (s *Subscriber) pause(ctx context.Context, maxDelay time.Duration) error {
+	timer := time.NewTimer(time.Duration(s.random.Int64N(int64(maxDelay))))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-s.moves.wakeable:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // loadStored puts the stored snapshot in effect. Without a usable one the first session starts with a barrier.
@@ -307,5 +366,12 @@
 // publish puts a snapshot in effect.
 func (s *Subscriber) publish(next *compiler.Snapshot) {
 	s.snapshot.Store(next)
+	wait, known := s.lag.apply(next.Version(), time.Now())
+	if known {
+		versionWaits.Update(wait.Seconds())
+	}
 	s.log.Info("snapshot in effect", "batch", s.batch, "version", next.Version(), "revision", next.Batch().Revision)
+	if known && wait >= lateAfter {
+		s.log.Warn("snapshot in effect late", "version", next.Version(), "wait", wait.String())
+	}
 }
