Log with a refusal which versions the daemon knew, and its controller

The line that names a refused call told the version in force only. Whether the daemon knew of a newer one, and from which controller it took its configuration, had to be found in other lines, which the record of an incident may lack.

--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -41,6 +41,7 @@
 // Dispatcher handles calls on routes. Its methods may be called concurrently.
 type Dispatcher struct {
 	snapshot      func() *compiler.Snapshot
+	configSource  func() (controller string, newest uint64)
 	pick          func(service string, skip []string) (wire.Member, func(Outcome), error)
 	deliverLocal  func(context.Context, deliverer.Call) deliverer.Result
 	self          string
@@ -88,6 +89,12 @@
 	return func(d *Dispatcher) { d.snapshot = snapshot }
 }
 
+// WithConfigSource sets the function that returns the controller from which the configuration comes, or "" without a session, and
+// the newest version that the daemon has heard of. Both are logged with refusals.
+func WithConfigSource(source func() (controller string, newest uint64)) Option {
+	return func(d *Dispatcher) { d.configSource = source }
+}
+
 // WithPick sets the function that selects a member of a service, other than those in skip. The returned function takes
 // the outcome of the attempt.
 func WithPick(pick func(service string, skip []string) (wire.Member, func(Outcome), error)) Option {
@@ -146,6 +153,7 @@
 	d := &Dispatcher{
 		startedAt:     time.Now(),
 		callerService: func() string { return "" },
+		configSource:  func() (string, uint64) { return "", 0 },
 		startCall:     func(string, string) (budgeter.Kind, error) { return budgeter.First, nil },
 		peers:         courier.New(),
 		names:         courier.DefaultHeaderNames(),
@@ -172,8 +180,10 @@
 	c, refusal := d.admit(request, started)
 	if refusal != nil {
 		version, revision := d.configVersion()
+		controller, newest := d.configSource()
 		d.log.Info("call refused", "id", request.Header.Get(d.names.Attempt), "host", request.Host, "target", request.Target,
-			"status", refusal.Status, "reason", strings.TrimSpace(string(refusal.Body)), "version", version, "revision", revision)
+			"status", refusal.Status, "reason", strings.TrimSpace(string(refusal.Body)), "version", version, "revision", revision,
+			"newest", newest, "controller", controller)
 		return refusal
 	}
 	answer := c.run(ctx)
--- a/daemon/runner/adapters.go
+++ b/daemon/runner/adapters.go
@@ -134,6 +134,14 @@
 	return all
 }
 
+// configSource returns the controller that the daemon has a session with, or "" without one, and the newest version heard of.
+func (r *Runner) configSource() (controller string, newest uint64) {
+	if c, ok := r.subscriber.Controller(); ok {
+		controller = c.Addr.String()
+	}
+	return controller, r.subscriber.NewestVersion()
+}
+
 // pickForRoutedCall selects a member for a routed call and passes the outcome of the call to the router.
 func (r *Runner) pickForRoutedCall(service string, skip []string) (wire.Member, func(dispatcher.Outcome), error) {
 	member, done, err := r.router.Pick(service, skip)
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -110,6 +110,7 @@
 	)
 	r.dispatcher = dispatcher.New(
 		dispatcher.WithSnapshot(r.subscriber.Snapshot),
+		dispatcher.WithConfigSource(r.configSource),
 		dispatcher.WithPick(r.pickForRoutedCall),
 		dispatcher.WithLocalDelivery(s.Name, r.deliverer.Deliver),
 		dispatcher.WithDomain(s.Domain),
