Let a rejected update no longer count as one on its way

The watch waits for a version that the daemon's controller has announced or sent. After a rejection nothing is on its way until the controller answers the next hello.

--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -208,6 +208,7 @@
 	err := c.subscriber.applyUpdate(frame)
 	if errors.Is(err, ErrRejected) {
 		c.subscriber.log.Warn("update rejected", "error", err)
+		c.announced.Store(0)
 		if frame.Full != nil {
 			return err
 		}
