Leave a controller without a majority once the watched one has one

Claims and proofs wait for a controller that is cut off, for up to 3.2 s: 1.2 s until it counts as cut off, 0.5 s until a heartbeat and 1.0 to 1.5 s more. This is the cause of the late versions on another path. The last part was meant for elections, in which no controller has a majority; the watch tells the difference. TestStaleController failed before.

The fake controllers of the tests keep their connections, so that a test can end them.

--- a/daemon/subscriber/controller_test.go
+++ b/daemon/subscriber/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,6 +22,9 @@
 	conns      chan net.Conn
 	serve      func(*fakeSession)
 	serveWatch func(*fakeSession) // sends nothing unless a test sets it
+
+	mu   sync.Mutex
+	open []net.Conn
 }
 
 func newFakeController(ctx context.Context, t *testing.T, serve func(*fakeSession)) *fakeController {
@@ -47,12 +51,24 @@
 	client, server := net.Pipe()
 	select {
 	case c.conns <- server:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.open = append(c.open, server)
 		return client, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
+// dropConns closes all connections.
+func (c *fakeController) dropConns() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.open {
+		_ = conn.Close()
+	}
+}
+
 func (c *fakeController) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
@@ -64,11 +80,11 @@
 	if !ok {
 		return
 	}
+	p.first = &hello
 	if hello.Hello != nil && hello.Hello.Watch {
 		c.serveWatch(p)
 		return
 	}
-	p.first = &hello
 	c.serve(p)
 }
 
--- a/daemon/subscriber/selection.go
+++ b/daemon/subscriber/selection.go
@@ -68,11 +68,11 @@
 // canFailBack reports whether the current controller is in another failure domain and the watch shows that one in the daemon's
 // own failure domain can take its place. A daemon that lacks a version waits for it first.
 func (s *Subscriber) canFailBack(current Controller, now time.Time) bool {
-	c := s.standby.Load()
-	if c == nil || s.sameDomain(current) || !s.sameDomain(*c) || s.lag.latest() > s.heldVersion() {
+	c, ok := s.Watched()
+	if !ok || s.sameDomain(current) || !s.sameDomain(c) || s.lag.latest() > s.heldVersion() {
 		return false
 	}
-	return now.Sub(s.lastSessionEnd[c.Addr]) >= failbackDelay && !s.lagged(*c, now)
+	return now.Sub(s.lastSessionEnd[c.Addr]) >= failbackDelay && !s.lagged(c, now)
 }
 
 // recordSessionEnd records when a session with a controller of the own failure domain ended. It also removes entries older
@@ -109,10 +109,9 @@
 // first one. After those of the own failure domain it prefers the watched controller, which is known to answer.
 func (s *Subscriber) takeNext(list []Controller, now time.Time) (next Controller, rest []Controller) {
 	i := max(slices.IndexFunc(list, func(c Controller) bool { return !s.lagged(c, now) }), 0)
-	if standby := s.standby.Load(); standby != nil && !s.sameDomain(list[i]) {
-		watched := slices.IndexFunc(list, func(c Controller) bool { return c.Addr == standby.Addr })
-		if watched >= 0 {
-			i = watched
+	if watched, ok := s.Watched(); ok && !s.sameDomain(list[i]) {
+		if j := slices.IndexFunc(list, func(c Controller) bool { return c.Addr == watched.Addr }); j >= 0 {
+			i = j
 		}
 	}
 	next = list[i]
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -223,8 +223,9 @@
 	return c.enqueue(ctx, wire.Frame{Ack: &wire.Ack{Version: inEffect.Version(), Sum: inEffect.Sum()}})
 }
 
-// handleHeartbeat asks for a full snapshot if the controller has a newer version. It ends the session if the controller has
-// lacked a majority for StaleLimit, or if the daemon can fail back to a controller of its own failure domain.
+// handleHeartbeat asks for a full snapshot if the controller has a newer version. It ends the session if the controller lacks a
+// majority and the watched one has had one since, or if it has lacked one for StaleLimit, or if the daemon can fail back to a
+// controller of its own failure domain.
 func (c *session) handleHeartbeat(ctx context.Context, heartbeat wire.Heartbeat) error {
 	c.subscriber.recordProof(heartbeat)
 	if inEffect := c.subscriber.Snapshot(); inEffect != nil && heartbeat.Version > inEffect.Version() {
@@ -241,7 +242,8 @@
 	if c.staleSince.IsZero() {
 		c.staleSince = time.Now()
 	}
-	if time.Since(c.staleSince) >= StaleLimit {
+	watched := c.subscriber.standby.Load()
+	if watched != nil && watched.seenAt.After(c.staleSince) || time.Since(c.staleSince) >= StaleLimit {
 		return errNoMajority
 	}
 	return nil
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -70,7 +70,7 @@
 
 	moves   *mover
 	lag     lag
-	standby atomic.Pointer[Controller] // the watched controller while it has a majority and all versions of the daemon, else nil
+	standby atomic.Pointer[standby] // nil if there is none
 	// watchFailures holds when the watch of a controller failed or the daemon left it lagging; used by the watches only.
 	watchFailures map[netip.AddrPort]time.Time
 
@@ -189,11 +189,11 @@
 
 // Watched returns the controller that the daemon watches beside its own, or false if there is none that can be relied on.
 func (s *Subscriber) Watched() (Controller, bool) {
-	c := s.standby.Load()
-	if c == nil {
+	watched := s.standby.Load()
+	if watched == nil {
 		return Controller{}, false
 	}
-	return *c, true
+	return watched.controller, true
 }
 
 // Run puts the stored snapshot in effect and then follows the configuration until ctx ends.
--- a/daemon/subscriber/watch.go
+++ b/daemon/subscriber/watch.go
@@ -43,6 +43,12 @@
 	staleSince time.Time        // when the controller was first seen without a majority or with an older version, or zero
 }
 
+// standby is a watched controller that could take the place of the daemon's own: it has a majority and all versions of the daemon.
+type standby struct {
+	controller Controller
+	seenAt     time.Time // when it last said so
+}
+
 // runWatches keeps a watch on one controller at a time until ctx ends. It begins once there is a snapshot: before that the daemon
 // lacks everything.
 func (s *Subscriber) runWatches(ctx context.Context, random *rand.Rand) error {
@@ -243,7 +249,7 @@
 	s.lag.hear(heartbeat.Version, now)
 	if heartbeat.Fresh && heartbeat.Version >= s.heldVersion() {
 		w.staleSince = time.Time{}
-		s.standby.Store(&w.controller)
+		s.standby.Store(&standby{w.controller, now})
 		return nil
 	}
 	s.standby.Store(nil)
