Check the announcement of commits on an idle mesh

The test now stops proposals while it waits, and with packets in order allows one tick. With the announcement taken out it fails.

--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -13,6 +13,7 @@
 
 const (
 	stepsPerTick  = 5
+	inOrderSteps  = 2                 // delay of packets that arrive in order
 	maxLeaveSteps = 60 * stepsPerTick // a planned stop takes less than this
 )
 
@@ -46,7 +47,8 @@
 	leave                            int  // chance per 100,000 steps of a planned stop
 	skew                             bool // node clocks run at different speeds
 	faultsOff                        bool
-	noDelays                         bool // no packet takes longer than 4 steps
+	inOrder                          bool // each packet takes inOrderSteps, so that none overtakes another one
+	idle                             bool // nodes get no proposals and reads
 
 	lastQuorumStep int                  // last step at which a leader is known to have had a majority
 	leaders        map[uint64]string    // leader by term
@@ -191,9 +193,12 @@
 		for range 1 + s.rand.IntN(10)/9 { // one packet in ten is duplicated
 			if s.partitionOf[from] == s.partitionOf[to] && (s.cutLink == 0 || from+to != s.cutLink) && (s.faultsOff || s.rand.IntN(100) >= s.loss) {
 				delay := 1 + s.rand.IntN(4)
-				if slow := s.rand.IntN(20) == 19; slow && !s.noDelays {
+				if s.rand.IntN(20) == 19 {
 					delay += 60
 				}
+				if s.inOrder {
+					delay = inOrderSteps
+				}
 				s.net = append(s.net, inFlightPacket{s.now + delay, p})
 			}
 		}
--- a/controller/replicator/simnode_test.go
+++ b/controller/replicator/simnode_test.go
@@ -65,13 +65,15 @@
 		in.packets = append(in.packets, p.Packet)
 		return true
 	})
-	s.rand.Shuffle(len(in.packets), func(a, b int) { in.packets[a], in.packets[b] = in.packets[b], in.packets[a] })
-	if s.rand.IntN(20) == 0 {
+	if !s.inOrder {
+		s.rand.Shuffle(len(in.packets), func(a, b int) { in.packets[a], in.packets[b] = in.packets[b], in.packets[a] })
+	}
+	if s.rand.IntN(20) == 0 && !s.idle {
 		s.lastID++
 		key := fmt.Sprint(s.lastID)
 		in.proposals = append(in.proposals, proposal{id: s.rand.Uint64(), cmd: wire.Command{Claim: &wire.Claim{Key: key}}})
 	}
-	if s.rand.IntN(20) == 0 {
+	if s.rand.IntN(20) == 0 && !s.idle {
 		id := s.rand.Uint64()
 		n.reads[id] = s.ackedIndex
 		in.reads = append(in.reads, id)
--- a/controller/replicator/spread_test.go
+++ b/controller/replicator/spread_test.go
@@ -10,9 +10,11 @@
 const (
 	// packetDelayTicks is the largest delay of a packet in the simulation: 64 steps.
 	packetDelayTicks = 13
-	// spreadTicks is the time in which all controllers apply what one of them has acknowledged if no packet is late: three packets of
-	// at most 4 steps, namely the announcement, and a reply and a repetition if it has overtaken the entries. A heartbeat comes later.
-	spreadTicks = (3*4 + stepsPerTick - 1) / stepsPerTick
+	// spreadTicks is the time in which all controllers apply what one of them has acknowledged if packets arrive in order: the delay
+	// of the one that announces the commit.
+	spreadTicks = 1
+	// lateSpreadTicks is the same if packets are late or overtake each other: the next heartbeat repeats the announcement.
+	lateSpreadTicks = heartbeatTicks + packetDelayTicks
 	// succeedTicks is the time in which the others apply what a leader acknowledged just before it failed: the longest election
 	// timeout, two attempts that split the vote, and the packets of an election, each delayed at most once.
 	succeedTicks = 2*electionTicks + 2*(retryElectionTicks+retryElectionSpreadTicks) + 2*packetDelayTicks
@@ -37,19 +39,21 @@
 // because a packet is late.
 func TestSpread(t *testing.T) {
 	for _, c := range []struct {
-		name     string
-		noDelays bool
-		limit    int
-	}{{"no late packets", true, spreadTicks}, {"late packets", false, packetDelayTicks + spreadTicks}} {
+		name    string
+		inOrder bool
+		limit   int
+	}{{"packets in order", true, spreadTicks}, {"late packets", false, lateSpreadTicks}} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(10) {
 				is := is.New(t)
 				s := newSim(t, 5, seed)
 				is.True(s.heal())
-				s.noDelays = c.noDelays
+				s.inOrder = c.inOrder
 				s.run(packetDelayTicks * stepsPerTick)
 				for range 200 {
+					s.idle = false
 					s.run(7)
+					s.idle = true // later entries would announce the commit too
 					took := s.ticksUntilApplied(s.ackedIndex, c.limit, func() {})
 					is.True(took <= c.limit)
 				}
