--- a/core/compiler/merge_test.go
+++ b/core/compiler/merge_test.go
@@ -139,3 +139,18 @@
 		}
 	}
 }
+
+// BenchmarkNew compiles a whole snapshot of 1,700 routes, as a daemon does with one that is not a delta.
+func BenchmarkNew(b *testing.B) {
+	var routes []wire.Route
+	for i := range 1700 {
+		routes = append(routes, route(fmt.Sprintf("r-%05d", i), fmt.Sprint("h", i%7), fmt.Sprintf("/%d/", i)))
+	}
+	current := newSnapshot(b, 1, routes...)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := compiler.New(current.Batch(), current.Sum()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
