--- a/soak/judge/judge.go
+++ b/soak/judge/judge.go
@@ -51,6 +51,7 @@
 	Base           uint64 // the version that the change replaces
 	Version        uint64 // 0 if not accepted
 	OutcomeUnknown bool   // no answer told whether the change was accepted
+	AckedAt        time.Time
 }
 
 const (
@@ -67,9 +68,10 @@
 	calls        []Call
 	runs         map[string][]run
 	versions     map[string]uint64 // highest version that each daemon has reported
-	leaves       []interval        // from the acknowledged leave of an upstream to its rejoin
-	plannedStops []interval        // planned stops of processes
-	faults       []interval        // all unplanned faults
+	samples      []sample
+	leaves       []interval // from the acknowledged leave of an upstream to its rejoin
+	plannedStops []interval // planned stops of processes
+	faults       []interval // all unplanned faults
 	changes      []Change
 	violations   []string
 }
@@ -100,10 +102,12 @@
 	ck.runs[id] = append(ck.runs[id], run{upstream, at})
 }
 
-// RecordVersion records the configuration version in effect at a daemon. A lower version than before is a violation.
-func (ck *Checker) RecordVersion(daemon string, version uint64) {
+// RecordVersion records the configuration version in effect at a daemon, which was asked for it at the given time. A lower version
+// than before is a violation.
+func (ck *Checker) RecordVersion(daemon string, version uint64, askedAt time.Time) {
 	ck.mu.Lock()
 	defer ck.mu.Unlock()
+	ck.samples = append(ck.samples, sample{daemon, version, askedAt})
 	if version < ck.versions[daemon] {
 		ck.violations = append(ck.violations, fmt.Sprintf("%s went back from version %d to %d", daemon, ck.versions[daemon], version))
 	}
--- a/soak/judge/judge_test.go
+++ b/soak/judge/judge_test.go
@@ -66,7 +66,10 @@
 			checker.RecordLeave("u1", now.Add(-time.Minute))()
 			checker.RecordRun("k", "u1", time.Now().Add(time.Second))
 		}, ""},
-		{"back", func(checker *judge.Checker) { checker.RecordVersion("d1", 4); checker.RecordVersion("d1", 3) }, "went back"},
+		{"back", func(checker *judge.Checker) {
+			checker.RecordVersion("d1", 4, time.Now())
+			checker.RecordVersion("d1", 3, time.Now())
+		}, "went back"},
 		{"race", func(checker *judge.Checker) {
 			checker.RecordChange(judge.Change{Mark: "a", Base: 0, Version: 1})
 			checker.RecordChange(judge.Change{Mark: "m", Base: 0, Version: 3})
--- a/soak/main.go
+++ b/soak/main.go
@@ -60,6 +60,7 @@
 	flags.IntVar(&s.Daemons, 0, "daemons", 6, "number of daemons, 3 to 199, each with an upstream")
 	flags.DurationVar(&s.FaultDuration, 0, "duration", 30*time.Second, "time during which faults are injected")
 	flags.Float64Var(&s.CallsPerSecond, 0, "rate", 80, "mean number of calls per second")
+	flags.DurationVar(&s.Converge, 0, "converge", 7*time.Second, "time in which changes must be in effect while at most one controller is disturbed")
 	flags.BoolVar(&s.planOnly, 0, "plan", "print the planned faults without running them")
 	if err := ff.Parse(flags, args); err != nil {
 		fmt.Fprintf(stderr, "%s\n%v\n", ffhelp.Flags(flags), err)
--- a/soak/runner/operator.go
+++ b/soak/runner/operator.go
@@ -100,7 +100,7 @@
 			case status == http.StatusOK:
 				var accepted presenter.Accepted
 				if json.Unmarshal(answer, &accepted) == nil {
-					c.Version, c.OutcomeUnknown = accepted.Version, false
+					c.Version, c.OutcomeUnknown, c.AckedAt = accepted.Version, false, time.Now()
 					return
 				}
 				outcomeUnknown = true
--- a/soak/runner/runner.go
+++ b/soak/runner/runner.go
@@ -50,6 +50,7 @@
 	Daemons        int
 	FaultDuration  time.Duration // faults are injected for this time
 	CallsPerSecond float64
+	Converge       time.Duration // changes must be in effect so long after their acknowledgement while at most one controller is disturbed
 }
 
 // Result summarizes a soak.
@@ -127,7 +128,8 @@
 	stopWatching()
 	work.Wait()
 	r.stopAll()
-	result := Result{Violations: r.checker.Violations(mark, version), Faults: len(steps), AnsweredRatio: r.checker.AnsweredRatio(began, recovered)}
+	violations := append(r.checker.Violations(mark, version), r.checker.Convergence(r.settings.Converge, domainsOf(r.controllers), domainsOf(r.daemons))...)
+	result := Result{Violations: violations, Faults: len(steps), AnsweredRatio: r.checker.AnsweredRatio(began, recovered)}
 	result.Calls, result.Runs, result.Changes = r.checker.Counts()
 	return result, ctx.Err()
 }
@@ -144,6 +146,15 @@
 	return topology
 }
 
+// domainsOf returns the failure domains of processes.
+func domainsOf(processes []*process) judge.Domains {
+	all := judge.Domains{}
+	for _, p := range processes {
+		all[p.name] = p.domain
+	}
+	return all
+}
+
 // startAll starts all processes and upstreams, and returns once all daemons answer calls on the routes of the first
 // configuration.
 func (r *Runner) startAll(ctx context.Context, work *sync.WaitGroup) error {
@@ -211,8 +222,9 @@
 // watchVersion records the version that a daemon has in effect periodically until ctx ends.
 func (r *Runner) watchVersion(ctx context.Context, d *process) {
 	for waiter.SleepCompleted(ctx, statusPollInterval) {
+		askedAt := time.Now()
 		if version, ok := r.versionInEffect(ctx, d); ok {
-			r.checker.RecordVersion(d.name, version)
+			r.checker.RecordVersion(d.name, version, askedAt)
 		}
 	}
 }
