--- a/daemon/subscriber/watch.go
+++ b/daemon/subscriber/watch.go
@@ -24,6 +24,14 @@
 	watchFailureMemory = 10 * time.Second
 )
 
+// Reasons not to watch a controller. Each of them outweighs all before it.
+const (
+	costOtherRegion = 1 << iota
+	costOtherDomain  // another failure domain than the daemon's; only a watch in the own one shows that the daemon can go back
+	costSharedDomain // the failure domain of the daemon's own controller: both would be lost together
+	costFailed       // its watch has failed lately
+)
+
 // Reasons for ending a watch.
 var (
 	errBehind       = errors.New("another controller has a newer version")
@@ -76,9 +84,8 @@
 	}
 }
 
-// selectWatched selects the controller to watch, or returns false if there is none. Most of all it avoids those whose watch has
-// failed lately, then the failure domain of the daemon's own controller, since both would be lost together. It prefers the failure
-// domain of the daemon, to which the daemon goes back once the watch shows that it can, and the region. It removes old failures.
+// selectWatched selects the controller to watch, the one with the lowest cost or one of these at random, or returns false if there is
+// none. It removes old failures.
 func (s *Subscriber) selectWatched(random *rand.Rand) (Controller, bool) {
 	if s.Snapshot() == nil {
 		return Controller{}, false
@@ -107,26 +114,26 @@
 	return *best, true
 }
 
-// watchCost ranks the controllers that may be watched; the lowest is the best. own is the daemon's controller, or empty.
+// watchCost adds up what speaks against watching c while own is the daemon's controller.
 func (s *Subscriber) watchCost(c, own Controller) int {
 	cost := 0
 	if _, failed := s.watchFailures[c.Addr]; failed {
-		cost += 8
+		cost += costFailed
 	}
 	if sharesDomain(c, own) {
-		cost += 4
+		cost += costSharedDomain
 	}
 	if !s.sameDomain(c) {
-		cost += 2
+		cost += costOtherDomain
 	}
 	if s.region != "" && c.Region != s.region {
-		cost++
+		cost += costOtherRegion
 	}
 	return cost
 }
 
 // shouldWatchOwnDomain reports whether the daemon is with a controller of another failure domain and watches one of another failure
-// domain too, although one of its own can be watched. Only its watch shows that the daemon can go back.
+// domain too, although one of its own can be watched.
 func (s *Subscriber) shouldWatchOwnDomain(own, watched Controller) bool {
 	if s.sameDomain(own) || s.sameDomain(watched) {
 		return false
