--- a/daemon/subscriber/watch.go
+++ b/daemon/subscriber/watch.go
@@ -26,7 +26,7 @@
 
 // Reasons not to watch a controller. Each of them outweighs all before it.
 const (
-	costOtherRegion = 1 << iota
+	costOtherRegion  = 1 << iota
 	costOtherDomain  // another failure domain than the daemon's; only a watch in the own one shows that the daemon can go back
 	costSharedDomain // the failure domain of the daemon's own controller: both would be lost together
 	costFailed       // its watch has failed lately
