Give large frames as long as the connection carries data

A whole update larger than a link carries in 1.5 s never arrived: writing and reading a frame had a limit of 1.5 s each, so the session ended and began again with the same update. The bound from an acknowledgement to the last daemon did not hold for it at any limit.

A claim that waits beside a large update no longer ends the session as unresponsive.

--- a/daemon/subscriber/request.go
+++ b/daemon/subscriber/request.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// closeIfUnresponsive ends the session if a request has waited for AnswerLimit and no frame has arrived since it was sent.
+// closeIfUnresponsive ends the session if a request has waited for AnswerLimit and no data has arrived since it was sent.
 // A controller without a leader answers within AnswerLimit too, so this one is frozen or the connection is broken.
 func (c *session) closeIfUnresponsive(sentAt time.Time) {
 	if time.Since(sentAt) >= AnswerLimit && c.lastReceived.Load() < sentAt.UnixNano() {
--- a/daemon/subscriber/session.go
+++ b/daemon/subscriber/session.go
@@ -40,7 +40,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	outgoing     chan wire.Frame
-	lastReceived atomic.Int64  // time of the last frame, in nanoseconds since the Unix epoch
+	lastReceived atomic.Int64  // time of the last data, in nanoseconds since the Unix epoch
 	announced    atomic.Uint64 // highest version that the controller has announced or sent
 
 	mu      sync.Mutex
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &session{subscriber: s, controller: to, noReferral: noReferral, ctx: ctx, cancel: cancel, outgoing: make(chan wire.Frame), pending: map[uint64]chan wire.Frame{}}
-	c.conn = framer.New(conn, framer.WithLimit(encoder.MaxMessage), framer.WithCounters(c.countSent, c.countReceived))
+	c.conn = framer.New(conn, framer.WithLimit(encoder.MaxMessage), framer.WithCounters(bytesOut.Add, bytesIn.Add), framer.WithProgress(c.recordReceived))
 	s.log.Info("connected", "controller", to.Addr)
 	established, err := c.run()
 	return established, fmt.Errorf("%w: %w", ErrSession, err)
@@ -99,13 +99,8 @@
 	return established, errors.Join(err, <-writer)
 }
 
-func (c *session) countSent(bytes int) {
-	bytesOut.Add(bytes)
-}
-
-// countReceived counts the bytes of a frame and records the time of its arrival.
-func (c *session) countReceived(bytes int) {
-	bytesIn.Add(bytes)
+// recordReceived records that data has arrived.
+func (c *session) recordReceived() {
 	c.lastReceived.Store(time.Now().UnixNano())
 }
 
--- a/daemon/subscriber/subscriber.go
+++ b/daemon/subscriber/subscriber.go
@@ -22,7 +22,7 @@
 const (
 	// StaleLimit is how long a controller may lack a majority before the daemon tries another one.
 	StaleLimit = time.Second
-	// AnswerLimit is the time after which an unanswered request ends a session on which no other frame has arrived.
+	// AnswerLimit is the time after which an unanswered request ends a session on which no data has arrived.
 	AnswerLimit = 900 * time.Millisecond
 
 	minBackoff = 200 * time.Millisecond
