Forget a move that an attempt carries out already

A move requested between two attempts stayed pending if the next attempt happened to be at its target, so that a later round began with a controller chosen for an old reason.

--- a/daemon/subscriber/move.go
+++ b/daemon/subscriber/move.go
@@ -18,12 +18,16 @@
 	return &mover{wakeable: make(chan struct{}, 1)}
 }
 
-// begin records an attempt, which is a session from its dial on. The attempt ends at once if it is not for the target.
+// begin records an attempt, which is a session from its dial on. The attempt ends at once if there is another target.
 func (m *mover) begin(c Controller, cancel context.CancelCauseFunc) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.attempt, m.cancel = c, cancel
-	if m.target != nil && m.target.Addr != c.Addr {
+	switch {
+	case m.target == nil:
+	case m.target.Addr == c.Addr:
+		m.target = nil
+	default:
 		cancel(errBehind)
 	}
 }
