Keep the watch of a daemon that does not know the failure domain of its controller

Cause: a configured controller has no failure domain until gossip names it. A daemon whose session began before that took its controller for one of another domain, and exchanged its watch again and again, without a pause, for one that shows whether it can go back.

Now the domain is looked up when it is needed, and every exchange of a watch has a pause that grows if watches do not last. TestQuietMesh counts connections on a mesh without faults: it fails without the lookup. The end of a watch is logged, so that such a loop shows.

--- a/daemon/subscriber/watch.go
+++ b/daemon/subscriber/watch.go
@@ -47,7 +47,6 @@
 	controller Controller
 	conn       *framer.Framer
 	due        <-chan time.Time // when to check whether the daemon still lacks a version; nil if it lacks none
-	confirmed  bool             // the controller has answered
 	staleSince time.Time        // when the controller was first seen without a majority or with an older version, or zero
 }
 
@@ -64,18 +63,18 @@
 	for {
 		c, ok := s.selectWatched(random)
 		if ok {
-			confirmed, err := s.serveWatch(ctx, c)
+			started := time.Now()
+			err := s.serveWatch(ctx, c)
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			s.log.Debug("watch ended", "controller", c.Addr, "error", err)
-			if confirmed {
+			s.log.Info("watch ended", "controller", c.Addr, "error", err)
+			if time.Since(started) >= maxBackoff {
 				backoff = minBackoff
 			}
-			if errors.Is(err, errRewatch) {
-				continue
+			if !errors.Is(err, errRewatch) {
+				s.watchFailures[c.Addr] = time.Now()
 			}
-			s.watchFailures[c.Addr] = time.Now()
 		}
 		if err := waiter.Sleep(ctx, time.Duration(random.Int64N(int64(backoff)))); err != nil {
 			return err
@@ -97,6 +96,7 @@
 	}
 	own, connected := s.moves.current()
 	all := s.allControllers()
+	own = findController(all, own)
 	var best *Controller
 	var bestCost int
 	for _, i := range random.Perm(len(all)) {
@@ -138,22 +138,36 @@
 	if s.sameDomain(own) || s.sameDomain(watched) {
 		return false
 	}
-	return slices.ContainsFunc(s.allControllers(), func(c Controller) bool {
+	all := s.allControllers()
+	if s.sameDomain(findController(all, own)) {
+		return false
+	}
+	return slices.ContainsFunc(all, func(c Controller) bool {
 		failed, ok := s.watchFailures[c.Addr]
 		return s.sameDomain(c) && (!ok || time.Since(failed) >= watchFailureMemory)
 	})
 }
 
+// findController returns the entry of a controller in a list, or the controller itself if the list lacks it. The failure domain of a
+// configured controller is known only once it is discovered, which may be after the session with it began.
+func findController(list []Controller, c Controller) Controller {
+	i := slices.IndexFunc(list, func(o Controller) bool { return o.Addr == c.Addr })
+	if i < 0 {
+		return c
+	}
+	return list[i]
+}
+
 // sharesDomain reports whether two controllers are known to be in the same failure domain.
 func sharesDomain(a, b Controller) bool {
 	return a.Domain != "" && a.Domain == b.Domain
 }
 
-// serveWatch watches one controller until the watch ends and reports whether the controller answered.
-func (s *Subscriber) serveWatch(ctx context.Context, to Controller) (bool, error) {
+// serveWatch watches one controller until the watch ends, and returns why it did.
+func (s *Subscriber) serveWatch(ctx context.Context, to Controller) error {
 	conn, err := s.connect(ctx, to)
 	if err != nil {
-		return false, err
+		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -168,7 +182,7 @@
 	err = w.run(ctx, frames)
 	cancel()
 	w.conn.Close()
-	return w.confirmed, fmt.Errorf("%w: %w", ErrSession, errors.Join(err, <-reader))
+	return fmt.Errorf("%w: %w", ErrSession, errors.Join(err, <-reader))
 }
 
 // readLoop passes the controller's frames on until the connection fails or ctx ends.
@@ -221,7 +235,6 @@
 
 // handleFrame handles one frame. An error ends the watch.
 func (w *watch) handleFrame(frame wire.Frame) error {
-	w.confirmed = true
 	switch {
 	case frame.Bye:
 		return errStopping
