Review case 12: routes whose Host has a port are acknowledged and never in force

Cause: the daemon takes the port off the host of a request, while the routes are filed under their host with the port. Requests for such a host get 404, or go to the service of the host without the port.

--- a/review/standin-3/mesh.go
+++ b/review/standin-3/mesh.go
@@ -172,14 +172,15 @@
 	}
 }
 
-// startSmall starts three machines of the core and the given sidecar machines, each in one of three zones in turn.
-func (m *mesh) startSmall(sidecars []string, service string) error {
+// startSmall starts three machines of the core and the given sidecar machines, each in one of three zones in turn, with one of the
+// given services in turn.
+func (m *mesh) startSmall(sidecars []string, services ...string) error {
 	zones := []string{"suseong", "dalseo", "buk"}
 	for i, zone := range zones {
 		m.add(fmt.Sprintf("c%d", i+1), "controller", zone, "")
 	}
 	for i, name := range sidecars {
-		m.add(name, "daemon", zones[i%3], service)
+		m.add(name, "daemon", zones[i%3], services[i%len(services)])
 	}
 	for _, name := range m.order {
 		if err := m.start(name, true); err != nil {
