Review case 11: a core machine removed without SIGTERM and one lost disk end the control plane

Cause: a successor that has run for longer than RecoveryS stays a learner until the removed voter has been silent for 2.5 s. A disk that is lost in that time takes the majority away for good. No code of the project is changed.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 for program in target/bluebellhoist out/review-3/review3; do
   [ -x "$program" ] || { echo "$program is missing: run the build of deploy/system.toml and review/build-3.sh" >&2; exit 2; }
 done
-exec out/review-3/review3 key target/bluebellhoist review/11/record.txt
+exec out/review-3/review3 spare target/bluebellhoist review/11/record.txt
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -75,6 +75,7 @@
 
 // cases are the scenarios by name. Each returns what broke the rule.
 var cases = map[string]func(m *mesh, trouble bool) ([]string, error){
-	"key":  keyCase,
-	"port": portCase,
+	"key":   keyCase,
+	"port":  portCase,
+	"spare": spareCase,
 }
--- a/review/standin-3/mesh.go
+++ b/review/standin-3/mesh.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,7 +37,8 @@
 	base     string // first three bytes of the addresses
 	machines map[string]*machine
 	order    []string
-	extra    string // further lines of all settings files
+	extra    string   // further lines of all settings files
+	seeds    []string // names of the machines that settings files name as seeds; empty for the first three of the core
 }
 
 type machine struct {
@@ -101,7 +103,7 @@
 	}
 	var seeds []string
 	for _, n := range m.order {
-		if m.machines[n].role == "controller" && len(seeds) < 3 {
+		if m.machines[n].role == "controller" && len(seeds) < 3 && (len(m.seeds) == 0 || slices.Contains(m.seeds, n)) {
 			seeds = append(seeds, m.addr(n, portControl))
 		}
 	}
