Review case 14: a large MaxHeaderBytes refuses all requests

Cause: the sum of MaxHeaderBytes and the size of the read buffer overflows, so that every header counts as too large. Change: a case with a script. The claim of case 11 tells of a variant without a lost disk. No code of the project is changed.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -78,4 +78,5 @@
 	"key":   keyCase,
 	"port":  portCase,
 	"spare": spareCase,
+	"limit": limitCase,
 }
--- a/review/standin-3/spare.go
+++ b/review/standin-3/spare.go
@@ -73,7 +73,16 @@
 	if _, err := m.replace("r3", want, 10*time.Second); err != nil {
 		return nil, err
 	}
-	if trouble {
+	if trouble && os.Getenv("VARIANT") == "two" { // for a trial: a second machine is removed too, and no disk is lost
+		m.add("c5", "controller", "dalseo", "")
+		if err := m.start("c5", false); err != nil {
+			return nil, err
+		}
+		time.Sleep(successorTime)
+		m.signal("c3", syscall.SIGKILL)
+		time.Sleep(gap)
+		m.signal("c2", syscall.SIGKILL)
+	} else if trouble {
 		m.signal("c3", syscall.SIGKILL) // removed permanently, without SIGTERM
 		<-m.machines["c3"].done
 		time.Sleep(gap)
@@ -90,7 +99,10 @@
 	}
 	back := time.Now()
 	for time.Since(back) < recoverTime {
-		for _, name := range []string{"c1", "c2", "c4"} {
+		for _, name := range []string{"c1", "c2", "c4", "c5"} {
+			if m.machines[name] == nil {
+				continue
+			}
 			status, text := m.get(name, 2500*time.Millisecond)
 			m.rec.add("operator: Config.Get on %s %.1f s after all are back: %d", name, time.Since(back).Seconds(), status)
 			if status == http.StatusOK && text == want {
