Review case 15: bodies within a raised MaxBodyBytes are refused

Cause: a daemon takes bodies up to 0.42 x 0.875 of its memory only, and answers 413 beyond that although the acknowledged configuration allows more.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -79,4 +79,5 @@
 	"port":  portCase,
 	"spare": spareCase,
 	"limit": limitCase,
+	"body":  bodyCase,
 }
