--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -53,6 +55,13 @@
 		return fail(err)
 	}
 	defer m.stopAll()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-ended
+		m.stopAll()
+		os.Exit(unready)
+	}()
 	scenario, ok := cases[name]
 	if !ok {
 		return fail(fmt.Errorf("no case %q", name))
