Bear a removal without notice beside lost disks

Cause: with a limit of 2f+1 voters the successor stays a learner until a voter has been silent for 2.5 s. Until then the removed machine counts, and the lost disk ends the majority. With one more voter the two that keep their disks are no majority of four either.

Change: the setting losses lets up to 2f+3 controllers vote. A controller without a leader asks the voters by identity; a process of the same name and address that has another identity proves that the first one has lost its data folder, and the others decide without it: by a majority of themselves that meets every majority of all. A change of the voters takes a quorum of the voters before and after it, and records say how far the log is committed, so that a restart needs only the latter.

Ruled out: shorter silence narrows the window only; a learner that commits wait for may be dropped by a majority that another one does not hear of; a loss that counts during the election in which it becomes known gives two leaders in a term (found by the model).

--- a/controller/replicator/core.go
+++ b/controller/replicator/core.go
@@ -86,6 +86,7 @@
 	cluster      string
 	seeds        []netip.AddrPort
 	maxVoters    int // 0 for no limit
+	minVoters    int // a silent voter loses its vote only if this many remain; 0 for maxVoters
 	rand         *rand.Rand
 	log          *raftLog
 	startTick    uint64 // random, so that a tick from before a restart is not mistaken for one of this run
@@ -104,6 +105,8 @@
 	electionTimeout  uint64    // randomized, in ticks
 	nextJoin         uint64
 	grantedVotes     map[string]bool // by voter
+	lost             map[string]bool // by node ID: identities whose data folder is lost
+	lostBeforeTerm   map[string]bool // lost as it was when this node began its last election
 
 	leave leaveState
 
@@ -133,6 +136,7 @@
 		self: self, cluster: cluster, seeds: seeds, rand: random, log: newLog(st),
 		role: follower, term: st.Term, vote: st.Vote,
 		pendingProposals: map[uint64]*pendingProposal{}, reads: map[uint64]*read{}, origins: map[uint64]origin{},
+		lost: map[string]bool{},
 	}
 	c.startTick = random.Uint64() >> 1
 	c.tick, c.quorumTick = c.startTick, c.startTick
@@ -192,8 +196,9 @@
 	c.emitCommitted()
 	out := c.out
 	c.out = output{}
-	if c.hardStateDirty || c.log.firstUnsynced > 0 || out.install != nil {
-		out.record = &wire.Record{Term: c.term, Vote: c.vote}
+	if c.hardStateDirty || c.log.firstUnsynced > 0 || out.install != nil || c.log.votersCommitted() {
+		out.record = &wire.Record{Term: c.term, Vote: c.vote, Commit: c.log.commit}
+		c.log.storedCommit = c.log.commit
 		if out.install != nil {
 			out.record.Base, out.record.Prior, out.record.Entries = c.log.base, c.log.baseTerm, c.log.entries
 		} else if c.log.firstUnsynced > 0 {
@@ -241,7 +246,7 @@
 }
 
 func (c *core) runLeaderTimers() {
-	if c.quorum() == 1 {
+	if c.isQuorum(func(id string) bool { return id == c.self.ID }) {
 		c.quorumTick = c.tick
 	}
 	if c.tick-c.quorumTick >= c.electionTimeout {
@@ -268,7 +273,11 @@
 		c.onJoin(p)
 		return
 	}
-	if p.To != c.self.ID || p.From.ID == c.self.ID || !c.sameCluster(p) {
+	if p.To != c.self.ID {
+		c.onMisdirected(p)
+		return
+	}
+	if p.From.ID == c.self.ID || !c.sameCluster(p) {
 		return
 	}
 	switch p.Kind {
@@ -276,6 +285,8 @@
 		c.onPreVote(p)
 	case kindLeave:
 		c.onLeave(p)
+	case kindIdentityLost:
+		c.onIdentityLost(p)
 	case kindLeaveReply:
 		c.onLeaveReply(p)
 	case kindPropose:
@@ -357,8 +368,9 @@
 // durable log.
 func (c *core) compact(state []byte) (wire.Checkpoint, wire.Record) {
 	c.log.compact(state, retainedEntries, retainedBytes)
+	c.log.storedCommit = c.log.commit
 	return c.log.checkpoint, wire.Record{
-		Term: c.term, Vote: c.vote, Base: c.log.base, Prior: c.log.baseTerm, Entries: c.log.entries,
+		Term: c.term, Vote: c.vote, Base: c.log.base, Prior: c.log.baseTerm, Commit: c.log.commit, Entries: c.log.entries,
 	}
 }
 
--- a/controller/replicator/election.go
+++ b/controller/replicator/election.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "bluebellhoist/core/wire"
+import (
+	"maps"
+
+	"bluebellhoist/core/wire"
+)
 
 func (c *core) resetElectionTimer() {
 	c.electionTimeout = electionTicks + c.rand.Uint64N(electionTicks)
@@ -84,13 +88,14 @@
 func (c *core) startElection() {
 	c.role, c.lead = candidate, wire.Node{}
 	c.scheduleElectionRetry()
+	c.lostBeforeTerm = maps.Clone(c.lost)
 	c.setTerm(c.term+1, c.self.ID)
 	c.grantedVotes = map[string]bool{}
 	c.requestVotes(kindVote, c.term)
 }
 
 func (c *core) requestVotes(kind string, term uint64) {
-	for _, n := range c.log.nodes {
+	for _, n := range c.electorate() {
 		if !n.Voter || n.ID == c.self.ID {
 			continue
 		}
@@ -101,13 +106,7 @@
 }
 
 func (c *core) countVotes() {
-	votes := 0
-	for _, n := range c.log.nodes {
-		if n.Voter && c.grantedVotes[n.ID] {
-			votes++
-		}
-	}
-	if votes < c.quorum() {
+	if !c.isQuorum(func(id string) bool { return c.grantedVotes[id] }) {
 		return
 	}
 	if c.role == preCandidate {
--- a/controller/replicator/faults_test.go
+++ b/controller/replicator/faults_test.go
@@ -44,6 +44,7 @@
 	cases := []struct {
 		name                             string
 		nodes, maxVoters, domains        int
+		minVoters                        int
 		loss, crash, partition, lostDisk int
 		leave                            int
 		skew                             bool
@@ -55,6 +56,8 @@
 		{name: "lost disks, each right after the previous one was repaired", nodes: 3, lostDisk: 100_000},
 		{name: "everything", nodes: 5, loss: 5, crash: 20, partition: 40, lostDisk: 100_000},
 		{name: "everything, ten nodes and at most five voters", nodes: 10, maxVoters: 5, domains: 5, loss: 5, crash: 20, partition: 40, lostDisk: 100_000},
+		{name: "everything, four nodes that all vote", nodes: 4, minVoters: 3, maxVoters: 5, loss: 5, crash: 20, partition: 40, lostDisk: 100_000},
+		{name: "planned stops, six nodes that all vote", nodes: 6, minVoters: 5, maxVoters: 7, loss: 2, crash: 20, lostDisk: 100_000, leave: 100},
 		{name: "planned stops, four nodes and at most three voters", nodes: 4, maxVoters: 3, loss: 2, leave: 200},
 		{name: "planned stops, crashes and lost disks, seven nodes and at most five voters", nodes: 7, maxVoters: 5, loss: 2, crash: 20, lostDisk: 100_000, leave: 100},
 	}
@@ -63,7 +66,7 @@
 			for seed := range uint64(3) {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					is := is.New(t)
-					s := newSim(t, c.nodes, seed, func(s *sim) { s.maxVoters, s.domainCount = c.maxVoters, c.domains })
+					s := newSim(t, c.nodes, seed, func(s *sim) { s.minVoters, s.maxVoters, s.domainCount = c.minVoters, c.maxVoters, c.domains })
 					is.True(s.heal()) // the cluster forms
 					s.faultsOff, s.skew, s.loss, s.crash, s.partition, s.lostDisk, s.leave = false, c.skew, c.loss, c.crash, c.partition, c.lostDisk, c.leave
 					s.run(20_000)
--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -1,7 +1,6 @@
 package replicator
 
 import (
-	"slices"
 	"time"
 
 	"bluebellhoist/core/wire"
@@ -91,28 +90,16 @@
 		if id == c.self.ID {
 			return c.log.durable
 		}
-		return c.peers[id].matchIndex
+		if p := c.peers[id]; p != nil {
+			return p.matchIndex
+		}
+		return 0
 	})
 	if term, ok := c.log.term(index); ok && term == c.term && index > c.log.commit {
 		c.log.commit = index
 	}
 }
 
-// quorumValue returns the highest value that a majority of the voters has reached.
-func (c *core) quorumValue(value func(id string) uint64) uint64 {
-	var values []uint64
-	for _, n := range c.log.nodes {
-		if n.Voter {
-			values = append(values, value(n.ID))
-		}
-	}
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[len(values)-c.quorum()]
-}
-
 // ownTermCommitted reports whether an entry of the current term is committed. Only then is the commit index certain to
 // cover all commits of earlier leaders.
 func (c *core) ownTermCommitted() bool {
@@ -145,7 +132,10 @@
 		if id == c.self.ID {
 			return c.lastRound
 		}
-		return c.peers[id].ackedRound
+		if p := c.peers[id]; p != nil {
+			return p.ackedRound
+		}
+		return 0
 	})
 	for len(c.pendingRounds) > 0 && c.pendingRounds[0].number <= ackedRound {
 		c.quorumTick = c.pendingRounds[0].tick
--- a/controller/replicator/leave.go
+++ b/controller/replicator/leave.go
@@ -72,7 +72,7 @@
 		if c.log.nodesIndex <= c.log.commit && c.ownTermCommitted() {
 			c.replyToLeave(p, false)
 		}
-	case c.maxVoters == 0 || c.voterCount() <= c.maxVoters && !c.hasSuccessor():
+	case c.maxVoters == 0 || c.voterCount() <= c.fewestVoters() && !c.hasSuccessor():
 		c.replyToLeave(p, true)
 	default:
 		c.maintainMembership()
@@ -142,25 +142,22 @@
 	return false
 }
 
-// replaceLeavingVoter makes the next of two changes, and reports whether it made one: it promotes a learner, and then demotes
-// the leaving voter. In between there is one voter more than the limit, all of which are up, so that the loss of any one of
-// them leaves a majority.
+// replaceLeavingVoter makes the next of two changes, and reports whether it made one: it promotes a learner if there is one,
+// and then demotes the leaving voter. In between there may be one voter more than the limit, all of which are up, so that the
+// loss of any one of them leaves a majority.
 func (c *core) replaceLeavingVoter(v wire.Node) bool {
 	if c.maxVoters == 0 {
 		return false
 	}
-	if c.voterCount() > c.maxVoters {
-		if !c.canRemove(v, 0) {
-			return false
-		}
-		v.Voter = false
-		c.setNode(v)
-		return true
-	}
-	n, ok := c.nextVoter()
-	if ok {
+	if n, ok := c.nextVoter(); ok && c.voterCount() <= c.maxVoters {
 		n.Voter = true
 		c.setNode(n)
+		return true
+	}
+	if c.voterCount() <= c.fewestVoters() || !c.canRemove(v, 0) {
+		return false
 	}
-	return ok
+	v.Voter = false
+	c.setNode(v)
+	return true
 }
--- a/controller/replicator/log.go
+++ b/controller/replicator/log.go
@@ -14,14 +14,17 @@
 	durable        uint64 // last index synced to disk
 	applied        uint64 // last index passed on to be applied
 	firstUnsynced  uint64 // first index to be synced; 0 if none
+	storedCommit   uint64 // commit index in the last record
 
-	nodes      []wire.Node // latest membership in the log, committed or not
-	nodesIndex uint64      // index of the entry that set nodes
+	nodes         []wire.Node // latest membership in the log, committed or not
+	nodesIndex    uint64      // index of the entry that set nodes
+	previousNodes []wire.Node // membership before nodes
 }
 
 func newLog(st storer.State) *raftLog {
 	l := &raftLog{base: st.Base, baseTerm: st.BaseTerm, entries: st.Entries, checkpoint: st.Checkpoint}
-	l.commit, l.applied, l.durable = st.Checkpoint.Index, st.Checkpoint.Index, l.last()
+	l.commit = max(st.Checkpoint.Index, min(st.Commit, l.last()))
+	l.applied, l.durable, l.storedCommit = st.Checkpoint.Index, l.last(), l.commit
 	l.refreshNodes()
 	return l
 }
@@ -69,7 +72,7 @@
 		l.firstUnsynced = e.Index
 	}
 	if len(e.Nodes) > 0 {
-		l.nodes, l.nodesIndex = e.Nodes, e.Index
+		l.nodes, l.nodesIndex, l.previousNodes = e.Nodes, e.Index, l.nodes
 	}
 }
 
@@ -113,8 +116,18 @@
 	l.base, l.baseTerm = base, baseTerm
 }
 
+// votersCommitted reports whether a change of the voters is committed and no record says so yet. A node that did not know it after a
+// restart would need a quorum of the former voters as well.
+func (l *raftLog) votersCommitted() bool {
+	return l.storedCommit < l.nodesIndex && l.nodesIndex <= l.commit && !sameVoters(l.previousNodes, l.nodes)
+}
+
 func (l *raftLog) refreshNodes() {
 	l.nodes, l.nodesIndex = l.nodesAt(l.last())
+	l.previousNodes = l.nodes
+	if l.nodesIndex > l.checkpoint.Index {
+		l.previousNodes, _ = l.nodesAt(l.nodesIndex - 1)
+	}
 }
 
 // nodesAt returns the membership in effect at index, and the index of the entry that set it.
--- a/controller/replicator/members.go
+++ b/controller/replicator/members.go
@@ -20,11 +20,6 @@
 	return ok && n.Voter
 }
 
-// quorum returns the size of a majority of the voters.
-func (c *core) quorum() int {
-	return c.voterCount()/2 + 1
-}
-
 // canChangeMembership reports whether the leader may change the membership. It allows one uncommitted change at a time,
 // and none before an entry of the current term is committed: majorities of memberships that are one change apart
 // intersect only if the leader knows the last committed one.
@@ -123,6 +118,7 @@
 	}
 	n, ok := c.nextVoter()
 	if !ok {
+		c.demoteSilentVoter()
 		return
 	}
 	if c.maxVoters == 0 || c.voterCount() < c.maxVoters {
--- a/controller/replicator/options.go
+++ b/controller/replicator/options.go
@@ -29,9 +29,10 @@
 	return func(r *Replicator) { r.seeds = seeds }
 }
 
-// WithMaxVoters limits the number of voters; 0 means no limit. Further nodes stay learners until a voter is lost.
-func WithMaxVoters(maxVoters int) Option {
-	return func(r *Replicator) { r.maxVoters = maxVoters }
+// WithVoters sets the number of voters that are kept although they are silent, or leave without a learner that takes their
+// place, and the largest number of voters; 0 means no limit. Further nodes stay learners until a voter is lost.
+func WithVoters(minVoters, maxVoters int) Option {
+	return func(r *Replicator) { r.minVoters, r.maxVoters = minVoters, maxVoters }
 }
 
 // WithSend sets the function that sends a packet. It must not block and may lose packets.
--- a/controller/replicator/packet.go
+++ b/controller/replicator/packet.go
@@ -24,6 +24,7 @@
 	kindTransfer            = "transfer" // the leader asks the receiver to take over leadership
 	kindLeave               = "leave"    // a voter that stops as planned asks for another one in its place
 	kindLeaveReply          = "leave-reply"
+	kindIdentityLost        = "identity-lost" // the sender has lost its data folder, and with it the identities in nodes
 )
 
 // outgoing is a packet with its destination address.
--- a/controller/replicator/placement.go
+++ b/controller/replicator/placement.go
@@ -61,6 +61,26 @@
 	return wire.Node{}, false
 }
 
+// fewestVoters returns the number of voters below which a silent or leaving voter keeps its vote, if no learner takes its place.
+func (c *core) fewestVoters() int {
+	if c.minVoters > 0 {
+		return c.minVoters
+	}
+	return c.maxVoters
+}
+
+// demoteSilentVoter demotes a silent voter if enough voters remain, so that the others can lose a further one. It is promoted
+// again when it is back.
+func (c *core) demoteSilentVoter() {
+	if c.maxVoters == 0 || c.voterCount() <= c.fewestVoters() {
+		return
+	}
+	if silent, ok := c.silentVoter(); ok {
+		silent.Voter = false
+		c.setNode(silent)
+	}
+}
+
 // votersInDomain returns the number of voters in a failure domain, without those that are about to leave.
 func (c *core) votersInDomain(domain string) int {
 	voters := 0
--- a/controller/replicator/replicator.go
+++ b/controller/replicator/replicator.go
@@ -31,6 +31,7 @@
 	store      *storer.Storer
 	self       wire.Node
 	seeds      []netip.AddrPort
+	minVoters  int
 	maxVoters  int
 	send       func(netip.AddrPort, wire.Packet)
 	apply      func(uint64, wire.Command) wire.Result
@@ -52,6 +53,7 @@
 	pending      map[uint64]*request
 	appliedBytes int // data applied since the last checkpoint, without compression
 	leaves       []*request
+	loggedLosses int // lost identities that are logged
 }
 
 // New returns a replicator that Run starts. A store, a node and the functions to send, apply, save and restore are
@@ -72,7 +74,7 @@
 	identity := r.store.Identity()
 	r.self.ID = identity.ID
 	r.core = newCore(r.self, identity.Cluster, r.store.State(), r.seeds, r.rand)
-	r.core.maxVoters = r.maxVoters
+	r.core.minVoters, r.core.maxVoters = r.minVoters, r.maxVoters
 	// Request IDs start at random, so that a late reply to a request from before a restart matches none.
 	r.nextID = r.rand.Uint64()
 	r.publishStatus()
--- a/controller/replicator/sim_test.go
+++ b/controller/replicator/sim_test.go
@@ -42,6 +42,7 @@
 	lastID         uint64 // last number used for an identity or a command key
 
 	maxVoters                        int  // 0 for no limit
+	minVoters                        int  // 0 for maxVoters
 	domainCount                      int  // failure domains, to which nodes are assigned in turn; 0 for one per node
 	loss, crash, partition, lostDisk int  // chances per 100,000 steps; loss per 100 packets
 	leave                            int  // chance per 100,000 steps of a planned stop
@@ -141,7 +142,7 @@
 			}
 			n.core, n.stopStep = nil, 0
 		}
-		if n.core == nil && s.rand.IntN(200) == 0 {
+		if n.core == nil && !n.removed && s.rand.IntN(200) == 0 {
 			s.start(i)
 		}
 	}
--- a/controller/replicator/simnode_test.go
+++ b/controller/replicator/simnode_test.go
@@ -24,6 +24,7 @@
 	tickPeriod   int               // steps per tick; differs between nodes under clock skew
 	startStep    int               // step of the last start
 	stopStep     int               // step at which the node ends after a planned stop; 0 if none
+	removed      bool              // the node never starts again
 	wasLeader    bool
 	electionsWon uint64
 }
@@ -41,7 +42,7 @@
 	st := n.disk
 	st.Entries = slices.Clone(st.Entries)
 	n.core = newCore(n.self, n.cluster, st, []netip.AddrPort{simAddr(0), simAddr(1)}, rand.New(rand.NewPCG(s.rand.Uint64(), 1)))
-	n.core.maxVoters = s.maxVoters
+	n.core.maxVoters, n.core.minVoters = s.maxVoters, s.minVoters
 	n.electionsWon, n.stopStep = 0, 0
 	n.reads, n.digest, n.startStep, n.tickPeriod = map[uint64]uint64{}, 0, s.now, stepsPerTick
 	if s.skew {
@@ -151,7 +152,7 @@
 	if rec == nil {
 		return
 	}
-	n.disk.Term, n.disk.Vote = rec.Term, rec.Vote
+	n.disk.Term, n.disk.Vote, n.disk.Commit = rec.Term, rec.Vote, max(n.disk.Commit, rec.Commit)
 	if out.install != nil {
 		n.disk.Checkpoint, n.disk.Base, n.disk.BaseTerm, n.disk.Entries = *out.install, rec.Base, rec.Prior, nil
 	}
--- a/controller/replicator/status.go
+++ b/controller/replicator/status.go
@@ -47,4 +47,8 @@
 	if old != nil && (old.Role != s.Role || old.Term != s.Term || old.Leader.ID != s.Leader.ID) {
 		r.log.Info("role changed", "role", s.Role, "term", s.Term, "leader", s.Leader.Name)
 	}
+	if len(c.lost) > r.loggedLosses {
+		r.loggedLosses = len(c.lost)
+		r.log.Warn("voters have lost their data folder", "lost", sortedKeys(c.lost), "nodes", s.Nodes)
+	}
 }
--- a/controller/runner/runner.go
+++ b/controller/runner/runner.go
@@ -167,7 +167,7 @@
 	r.replicator = replicator.New(
 		replicator.WithStore(store),
 		replicator.WithNode(s.Node()),
-		replicator.WithMaxVoters(s.MaxVoters),
+		replicator.WithVoters(s.voters()),
 		replicator.WithSeeds(s.Peers),
 		replicator.WithSend(func(to netip.AddrPort, p wire.Packet) { r.send(to, p) }),
 		replicator.WithApply(func(_ uint64, cmd wire.Command) wire.Result { return r.registrar.Apply(cmd) }),
--- a/controller/runner/settings.go
+++ b/controller/runner/settings.go
@@ -27,11 +27,14 @@
 	// Founders are the listen addresses of the first voters. They are used only on the first start of the whole cluster.
 	// The name of a founder must be its address.
 	Founders  []netip.AddrPort `json:"founders"`
-	MaxVoters int              `json:"seats"`   // maximum number of voters; 0 for no limit
-	Gossip    bool             `json:"gossip"`  // whether this node takes part in the gossip, through which daemons find each other
-	Seeds     []netip.AddrPort `json:"seeds"`   // addresses of other gossip members
-	Grace     loader.Duration  `json:"grace"`   // time allowed for a planned stop; optional
-	Metrics   netip.AddrPort   `json:"metrics"` // additional address for the metrics; optional
+	MaxVoters int              `json:"seats"` // maximum number of voters; 0 for no limit, or for one that follows from losses
+	// Losses is the number of nodes that may lose their disks at once, from which the number of voters follows; 0 if it follows
+	// from seats.
+	Losses  int              `json:"losses"`
+	Gossip  bool             `json:"gossip"`  // whether this node takes part in the gossip, through which daemons find each other
+	Seeds   []netip.AddrPort `json:"seeds"`   // addresses of other gossip members
+	Grace   loader.Duration  `json:"grace"`   // time allowed for a planned stop; optional
+	Metrics netip.AddrPort   `json:"metrics"` // additional address for the metrics; optional
 	// Quota limits the calls of tenants over the whole mesh; optional.
 	Quota  apportioner.Settings `json:"quota"`
 	Memory int64                `json:"memory"` // memory of the process in MiB, of which requests get a share; optional
@@ -75,6 +78,10 @@
 		return fmt.Errorf("%w: the name of a founder must be its address %s", errSettings, s.Listen)
 	case s.MaxVoters < 0:
 		return fmt.Errorf("%w: seats is negative", errSettings)
+	case s.Losses < 0:
+		return fmt.Errorf("%w: losses is negative", errSettings)
+	case s.Losses > 0 && s.MaxVoters > 0:
+		return fmt.Errorf("%w: seats and losses exclude each other", errSettings)
 	case s.Memory < 0 || s.Files < 0:
 		return fmt.Errorf("%w: memory and files must not be negative", errSettings)
 	case s.Grace < 0:
@@ -82,12 +89,33 @@
 	case hclog.LevelFromString(s.Level) == hclog.NoLevel:
 		return fmt.Errorf("%w: level %q is unknown", errSettings, s.Level)
 	}
-	if err := s.Quota.Check(s.MaxVoters); err != nil {
+	if err := s.Quota.Check(s.quotaVoters()); err != nil {
 		return fmt.Errorf("%w: %v", errSettings, err)
 	}
 	return nil
 }
 
+// voters returns the number of voters below which silent ones keep their vote, and the maximum number of voters; 0 means no
+// limit. With more than the fewest voters a node may also be removed without notice while others lose their disks
+// (docs/design/voters.md).
+func (s Settings) voters() (fewest, most int) {
+	if s.Losses == 0 {
+		return 0, s.MaxVoters
+	}
+	fewest = 2*s.Losses + 1
+	most = fewest + 2
+	if s.Quota.Enabled() && s.Quota.Slack < float64(most) { // the quotas need as much slack as there are voters
+		most = max(fewest, int(s.Quota.Slack))
+	}
+	return fewest, most
+}
+
+// quotaVoters returns the number of voters that the slack of the quotas must allow for.
+func (s Settings) quotaVoters() int {
+	_, most := s.voters()
+	return most
+}
+
 // Node returns the node that the settings describe.
 func (s Settings) Node() wire.Node {
 	return wire.Node{Name: s.Name, Domain: s.Domain, Addr: s.Listen, Voter: s.Voter}
--- a/controller/storer/log.go
+++ b/controller/storer/log.go
@@ -133,7 +133,7 @@
 		return fmt.Errorf("%w: %s: %v", ErrDamaged, logFile, err)
 	}
 	st := &s.state
-	st.Term, st.Vote = rec.Term, rec.Vote
+	st.Term, st.Vote, st.Commit = rec.Term, rec.Vote, max(st.Commit, rec.Commit)
 	if first {
 		st.Base, st.BaseTerm = rec.Base, rec.Prior
 	}
--- a/controller/storer/storer.go
+++ b/controller/storer/storer.go
@@ -47,6 +47,7 @@
 	Vote       string
 	Base       uint64 // index before the first of Entries
 	BaseTerm   uint64 // term of the entry at Base
+	Commit     uint64 // index up to which the log is known to be committed
 	Entries    []wire.Entry
 	Checkpoint wire.Checkpoint
 }
--- a/controller/storer/storer_test.go
+++ b/controller/storer/storer_test.go
@@ -47,18 +47,19 @@
 	return s.State(), s.TornBytes()
 }
 
-// TestReopen guards against a node that loses its identity, vote or entries in a restart, or keeps entries that were
+// TestReopen guards against a node that loses its identity, vote, commit index or entries in a restart, or keeps entries that were
 // replaced.
 func TestReopen(t *testing.T) {
 	is := is.New(t)
 	folder := writeFolder(t,
 		wire.Record{Term: 2, Vote: "b", Entries: entries(2, 2, 9)},
-		wire.Record{Term: 3, Vote: "c"},
+		wire.Record{Term: 3, Vote: "c", Commit: 4},
 		wire.Record{Term: 3, Vote: "c", Entries: entries(3, 5, 6)})
 	state, torn := reopen(t, folder)
 	is.Equal(torn, int64(0))
 	is.Equal(state.Term, uint64(3))
 	is.Equal(state.Vote, "c")
+	is.Equal(state.Commit, uint64(4))
 	is.Equal(len(state.Entries), 6)
 	is.Equal(string(state.Entries[3].Data), "2/4")
 	is.Equal(string(state.Entries[5].Data), "3/6")
--- a/core/wire/types.go
+++ b/core/wire/types.go
@@ -634,6 +634,9 @@
 	// Index before the first entry of the file; used in its first record only.
 	Base uint64 `json:"base"`
 
+	// Index up to which the log is known to be committed.
+	Commit uint64 `json:"commit"`
+
 	// Entries that replace the log from the first one's index on.
 	Entries []Entry `json:"entries,omitempty,omitzero"`
 
