Ask for a proof whenever a call has a key

Cause: the configuration in force decided whether it had to be proven. An old one that calls for no key cannot tell that it is old.

Change: the call decides. If the settings give a revoke time, a call with a key needs a proof in every configuration, also on public routes, and both daemons of a call drop the key. Calls without a key are judged as before.

Ruled out: a proof that counts as newer than it is, since the same calls are refused with a configuration that calls for keys; calls judged before the freeze, since later ones ran too.

The cases "no tenants" of TestKeys and "public" of TestAuthorize demanded the fault: a call with a key and without a proof was to run, with its key passed on. Cases with and without key, proof and proofs in the settings replace them.

--- a/daemon/authorizer/authorizer.go
+++ b/daemon/authorizer/authorizer.go
@@ -3,6 +3,8 @@
 
 import (
 	"errors"
+	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 
@@ -41,10 +43,11 @@
 
 // Authorizer authorizes calls. Its methods may be called concurrently.
 type Authorizer struct {
-	snapshot func() *compiler.Snapshot
-	proven   func() bool
-	log      hclog.Logger
-	refusing atomic.Bool // the last call that needed a proof was refused for want of one
+	snapshot    func() *compiler.Snapshot
+	needsProofs func() bool
+	proven      func() bool
+	log         hclog.Logger
+	refusing    atomic.Bool // the last call that needed a proof was refused for want of one
 }
 
 // Option configures an Authorizer.
@@ -55,10 +58,10 @@
 	return func(a *Authorizer) { a.snapshot = snapshot }
 }
 
-// WithProof sets the function that reports whether the configuration in force is proven to be current. Without it, no proof
-// is needed.
-func WithProof(proven func() bool) Option {
-	return func(a *Authorizer) { a.proven = proven }
+// WithProof sets the functions that report whether the settings call for proofs, and whether the configuration in force is proven
+// to be current. Without it, no proof is needed.
+func WithProof(needed, proven func() bool) Option {
+	return func(a *Authorizer) { a.needsProofs, a.proven = needed, proven }
 }
 
 // WithLogger sets the logger.
@@ -68,7 +71,11 @@
 
 // New returns an authorizer. WithSnapshot is required.
 func New(opts ...Option) *Authorizer {
-	a := &Authorizer{proven: func() bool { return true }, log: hclog.NewNullLogger()}
+	a := &Authorizer{
+		needsProofs: func() bool { return false },
+		proven:      func() bool { return true },
+		log:         hclog.NewNullLogger(),
+	}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -77,7 +84,8 @@
 
 // Call is the part of a call that decides its authorization.
 type Call struct {
-	Key string // empty if the call has none
+	Key    string // empty if the call has none, or has a malformed one
+	HasKey bool   // the call has a key, which may be malformed
 	// IsPublic reports whether the call needs no key in the given configuration.
 	IsPublic func(*compiler.Snapshot) bool
 }
@@ -89,6 +97,19 @@
 	snapshot *compiler.Snapshot // the configuration
 }
 
+// NewCall returns the part of a call with the given values of HeaderKey.
+func NewCall(values []string, isPublic func(*compiler.Snapshot) bool) Call {
+	return Call{Key: ParseKey(values), HasKey: HasKey(values), IsPublic: isPublic}
+}
+
+// HasKey reports whether there is a key among the values of HeaderKey, well-formed or not. Other schemes belong to the upstream.
+func HasKey(values []string) bool {
+	return slices.ContainsFunc(values, func(value string) bool {
+		words := strings.Fields(value)
+		return len(words) > 0 && strings.EqualFold(words[0], scheme)
+	})
+}
+
 // ParseKey returns the key in the values of HeaderKey, or an empty text if there is not exactly one.
 func ParseKey(values []string) string {
 	if len(values) != 1 {
@@ -112,23 +133,31 @@
 }
 
 // authorize authorizes a call. It does not look up the key again if the configuration is that of the last grant.
+//
+// A call with a key needs a proof whatever the configuration in force says: an old one may be from before the tenants, or from
+// before a public route was closed, and cannot tell that it is old.
 func (a *Authorizer) authorize(c Call, last *Grant) (Grant, error) {
 	// The proof must be checked first: it covers the version in force at that time and all later ones, while a snapshot that
 	// was read earlier may be older than the version that the proof covers.
-	proven := a.proven()
+	guardsKey := c.HasKey && a.needsProofs()
+	proven := a.isProven()
 	snapshot := a.snapshot()
 	grant := Grant{snapshot: snapshot}
-	if snapshot == nil || !snapshot.NeedsKey() {
+	if snapshot == nil {
 		return grant, nil
 	}
-	grant.DropKey = true
-	if c.IsPublic(snapshot) {
+	grant.DropKey = snapshot.NeedsKey() || guardsKey
+	open := !snapshot.NeedsKey() || c.IsPublic(snapshot)
+	if open && !guardsKey {
 		return grant, nil
 	}
 	a.logProof(proven, snapshot)
 	if !proven {
 		return grant, refuse(ErrNoProof)
 	}
+	if open {
+		return grant, nil
+	}
 	if c.Key == "" {
 		return grant, refuse(ErrNoKey)
 	}
@@ -154,17 +183,28 @@
 	a.log.Warn("configuration not proven, calls that need a key are refused", "version", snapshot.Version())
 }
 
+// isProven reports whether the configuration in force is proven to be current, or needs no proof.
+func (a *Authorizer) isProven() bool {
+	return !a.needsProofs() || a.proven()
+}
+
 // Ready reports whether calls with a key can be judged.
 func (a *Authorizer) Ready() bool {
-	proven := a.proven()
-	snapshot := a.snapshot()
-	return snapshot != nil && (proven || !snapshot.NeedsKey())
+	return a.isProven() && a.snapshot() != nil
 }
 
-// NeedsKey reports whether the configuration in force calls for keys, which must not be passed on.
-func (a *Authorizer) NeedsKey() bool {
+// GuardsKeys reports whether keys are kept from upstreams whatever the configuration in force says.
+func (a *Authorizer) GuardsKeys() bool {
+	return a.needsProofs()
+}
+
+// DropKey removes the key from the header of a call that goes to an upstream, if the configuration in force calls for keys or may
+// be older than one that does.
+func (a *Authorizer) DropKey(h http.Header) {
 	snapshot := a.snapshot()
-	return snapshot != nil && snapshot.NeedsKey()
+	if snapshot != nil && snapshot.NeedsKey() || a.GuardsKeys() && HasKey(h.Values(HeaderKey)) {
+		h.Del(HeaderKey)
+	}
 }
 
 // refuse counts a refusal and returns its reason.
--- a/daemon/authorizer/authorizer_test.go
+++ b/daemon/authorizer/authorizer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -29,6 +30,8 @@
 	return s
 }
 
+func always() bool { return true }
+
 func isPublic(public bool) func(*compiler.Snapshot) bool {
 	return func(*compiler.Snapshot) bool { return public }
 }
@@ -66,24 +69,36 @@
 		err            error
 		tenant         string
 		dropKey        bool
+		malformed      bool // the call has a key that is not well-formed
+		noProofs       bool // the settings call for no proofs
 	}{
-		{"key", []string{"k"}, false, true, "k", nil, "tenant of k", true},
-		{"no key", []string{"k"}, false, true, "", authorizer.ErrNoKey, "", true},
-		{"unknown key", []string{"k"}, false, true, "l", authorizer.ErrUnknownKey, "", true},
-		{"key without proof", []string{"k"}, false, false, "k", authorizer.ErrNoProof, "", true},
-		{"no key without proof", []string{"k"}, false, false, "", authorizer.ErrNoProof, "", true},
-		{"unknown key without proof", []string{"k"}, false, false, "l", authorizer.ErrNoProof, "", true},
-		{"public", []string{"k"}, true, false, "k", nil, "", true},
-		{"no tenants", nil, false, false, "k", nil, "", false},
+		{name: "key", keys: []string{"k"}, proven: true, key: "k", tenant: "tenant of k", dropKey: true},
+		{name: "no key", keys: []string{"k"}, proven: true, err: authorizer.ErrNoKey, dropKey: true},
+		{name: "malformed key", keys: []string{"k"}, proven: true, malformed: true, err: authorizer.ErrNoKey, dropKey: true},
+		{name: "unknown key", keys: []string{"k"}, proven: true, key: "l", err: authorizer.ErrUnknownKey, dropKey: true},
+		{name: "key without proof", keys: []string{"k"}, key: "k", err: authorizer.ErrNoProof, dropKey: true},
+		{name: "no key without proof", keys: []string{"k"}, err: authorizer.ErrNoProof, dropKey: true},
+		{name: "unknown key without proof", keys: []string{"k"}, key: "l", err: authorizer.ErrNoProof, dropKey: true},
+		{name: "key, no proofs needed", keys: []string{"k"}, noProofs: true, key: "k", tenant: "tenant of k", dropKey: true},
+		{name: "public", keys: []string{"k"}, public: true, proven: true, key: "k", dropKey: true},
+		{name: "public without key and proof", keys: []string{"k"}, public: true, dropKey: true},
+		{name: "public without proof", keys: []string{"k"}, public: true, key: "k", err: authorizer.ErrNoProof, dropKey: true},
+		{name: "public, malformed key without proof", keys: []string{"k"}, public: true, malformed: true, err: authorizer.ErrNoProof, dropKey: true},
+		{name: "public, no proofs needed", keys: []string{"k"}, public: true, noProofs: true, key: "k", dropKey: true},
+		{name: "no tenants", proven: true, key: "k", dropKey: true},
+		{name: "no tenants, no key and no proof"},
+		{name: "no tenants and no proof", key: "k", err: authorizer.ErrNoProof, dropKey: true},
+		{name: "no tenants, malformed key and no proof", malformed: true, err: authorizer.ErrNoProof, dropKey: true},
+		{name: "no tenants, no proofs needed", noProofs: true, key: "k"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newSnapshot(t, c.keys...)
 			a := authorizer.New(
 				authorizer.WithSnapshot(func() *compiler.Snapshot { return s }),
-				authorizer.WithProof(func() bool { return c.proven }),
+				authorizer.WithProof(func() bool { return !c.noProofs }, func() bool { return c.proven }),
 			)
-			grant, err := a.Authorize(authorizer.Call{Key: c.key, IsPublic: isPublic(c.public)})
+			grant, err := a.Authorize(authorizer.Call{Key: c.key, HasKey: c.key != "" || c.malformed, IsPublic: isPublic(c.public)})
 			is.Equal(err, c.err)
 			is.Equal(grant.Tenant.Name, c.tenant)
 			is.Equal(grant.DropKey, c.dropKey)
@@ -91,6 +106,54 @@
 	}
 }
 
+// TestHasKey guards against a key that is taken for the header of another scheme and passed on.
+func TestHasKey(t *testing.T) {
+	for _, c := range []struct {
+		values []string
+		has    bool
+	}{
+		{[]string{"Token abc"}, true},
+		{[]string{"token\tabc"}, true},
+		{[]string{" Token"}, true},
+		{[]string{"Bearer a", "Token b"}, true},
+		{[]string{"Bearer Token"}, false},
+		{[]string{"Tokens abc"}, false},
+		{[]string{""}, false},
+		{nil, false},
+	} {
+		t.Run(strings.Join(c.values, ", "), func(t *testing.T) {
+			is.New(t).Equal(authorizer.HasKey(c.values), c.has)
+		})
+	}
+}
+
+// TestDropKey guards against an upstream that gets a key because the configuration in force is older than the tenants.
+func TestDropKey(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		keys        []string
+		needsProofs bool
+		value, want string
+	}{
+		{"tenants", []string{"k"}, false, "Token k", ""},
+		{"tenants, other scheme", []string{"k"}, false, "Bearer k", ""},
+		{"no tenants", nil, false, "Token k", "Token k"},
+		{"no tenants, keys are guarded", nil, true, "Token k", ""},
+		{"no tenants, keys are guarded, other scheme", nil, true, "Bearer k", "Bearer k"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSnapshot(t, c.keys...)
+			a := authorizer.New(
+				authorizer.WithSnapshot(func() *compiler.Snapshot { return s }),
+				authorizer.WithProof(func() bool { return c.needsProofs }, always),
+			)
+			header := http.Header{authorizer.HeaderKey: {c.value}}
+			a.DropKey(header)
+			is.New(t).Equal(header.Get(authorizer.HeaderKey), c.want)
+		})
+	}
+}
+
 // TestRenew guards against a call that is sent after its key was removed, or after the proof has ended, because it was
 // authorized before.
 func TestRenew(t *testing.T) {
@@ -98,9 +161,9 @@
 	current, proven := newSnapshot(t, "k"), true
 	a := authorizer.New(
 		authorizer.WithSnapshot(func() *compiler.Snapshot { return current }),
-		authorizer.WithProof(func() bool { return proven }),
+		authorizer.WithProof(always, func() bool { return proven }),
 	)
-	c := authorizer.Call{Key: "k", IsPublic: isPublic(false)}
+	c := authorizer.Call{Key: "k", HasKey: true, IsPublic: isPublic(false)}
 	grant, err := a.Authorize(c)
 	is.NoErr(err)
 	again, err := a.Renew(c, grant)
@@ -128,9 +191,9 @@
 			current, proven = revoked, true // the update and its proof arrive right after
 			return read
 		}),
-		authorizer.WithProof(func() bool { return proven }),
+		authorizer.WithProof(always, func() bool { return proven }),
 	)
-	_, err := a.Authorize(authorizer.Call{Key: "k", IsPublic: isPublic(false)})
+	_, err := a.Authorize(authorizer.Call{Key: "k", HasKey: true, IsPublic: isPublic(false)})
 	is.New(t).Equal(err, authorizer.ErrNoProof)
 }
 
@@ -151,11 +214,11 @@
 	s, proven := newSnapshot(t, "k"), true
 	a := authorizer.New(
 		authorizer.WithSnapshot(func() *compiler.Snapshot { return s }),
-		authorizer.WithProof(func() bool { return proven }),
+		authorizer.WithProof(always, func() bool { return proven }),
 		authorizer.WithLogger(hclog.New(&hclog.LoggerOptions{Output: &out})),
 	)
 	for _, proven = range []bool{true, false, false, false, true, true} {
-		_, _ = a.Authorize(authorizer.Call{Key: "k", IsPublic: isPublic(false)})
+		_, _ = a.Authorize(authorizer.Call{Key: "k", HasKey: true, IsPublic: isPublic(false)})
 	}
 	is.Equal(strings.Count(out.String(), "\n"), 2)
 	is.True(strings.Contains(out.String(), "configuration not proven"))
--- a/daemon/deliverer/deliverer.go
+++ b/daemon/deliverer/deliverer.go
@@ -12,7 +12,6 @@
 
 	"bluebellhoist/core/accountant"
 	"bluebellhoist/core/wire"
-	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 )
@@ -85,7 +84,7 @@
 	beginRun      func(budgeter.Arrival) (end func(sent bool), err error)
 	client        *courier.Client
 	names         courier.HeaderNames
-	needsKey      func() bool
+	dropKey       func(http.Header)
 	durations     durations
 	account       *accountant.Account
 	draining      atomic.Bool
@@ -120,9 +119,9 @@
 	return func(d *Deliverer) { d.checkBudget, d.beginRun = check, begin }
 }
 
-// WithNeedsKey sets the function that reports whether the configuration in force calls for keys. Upstreams get no keys then.
-func WithNeedsKey(needsKey func() bool) Option {
-	return func(d *Deliverer) { d.needsKey = needsKey }
+// WithDropKey sets the function that removes the key of a caller, which upstreams must not get, from the header of a call.
+func WithDropKey(dropKey func(http.Header)) Option {
+	return func(d *Deliverer) { d.dropKey = dropKey }
 }
 
 // WithHeaderNames sets the header names.
@@ -142,7 +141,7 @@
 		load:          func() int { return -1 },
 		checkBudget:   func(budgeter.Arrival) error { return nil },
 		beginRun:      func(budgeter.Arrival) (func(bool), error) { return func(bool) {}, nil },
-		needsKey:      func() bool { return false },
+		dropKey:       func(http.Header) {},
 		client:        courier.New(),
 		names:         courier.DefaultHeaderNames(),
 		account:       accountant.New(),
@@ -276,9 +275,7 @@
 
 // setTenant replaces what the caller sent about its tenant.
 func (d *Deliverer) setTenant(h http.Header, tenant string) {
-	if d.needsKey() {
-		h.Del(authorizer.HeaderKey)
-	}
+	d.dropKey(h)
 	if d.names.Tenant == "" {
 		return
 	}
--- a/daemon/deliverer/deliverer_test.go
+++ b/daemon/deliverer/deliverer_test.go
@@ -287,7 +287,11 @@
 				got.Store(&r.Header)
 				reply(200, "Proof", "p")(w, r)
 			})
-			deliverer.WithNeedsKey(func() bool { return c.needsKey })(f.Deliverer)
+			deliverer.WithDropKey(func(h http.Header) {
+				if c.needsKey {
+					h.Del("Authorization")
+				}
+			})(f.Deliverer)
 			newTenantCall := func() deliverer.Call {
 				call := newCall(true)
 				call.Tenant = c.tenant
--- a/daemon/dispatcher/authorize.go
+++ b/daemon/dispatcher/authorize.go
@@ -17,10 +17,7 @@
 
 // authorize decides which tenant the call belongs to, and returns an error if the call must not be sent.
 func (c *call) authorize() error {
-	c.credentials = authorizer.Call{
-		Key:      authorizer.ParseKey(c.request.Header.Values(authorizer.HeaderKey)),
-		IsPublic: c.isPublic,
-	}
+	c.credentials = authorizer.NewCall(c.request.Header.Values(authorizer.HeaderKey), c.isPublic)
 	grant, err := c.d.authorizer.Authorize(c.credentials)
 	c.applyGrant(grant)
 	return err
--- a/daemon/dispatcher/authorize_test.go
+++ b/daemon/dispatcher/authorize_test.go
@@ -28,6 +28,7 @@
 	*dispatcher.Dispatcher
 	snapshot *compiler.Snapshot
 	proven   atomic.Bool
+	noProofs bool // the settings call for no proofs
 	calls    []deliverer.Call
 	deliver  func(deliverer.Call) deliverer.Result
 	picked   func() // called before a member is returned
@@ -41,7 +42,7 @@
 	snapshot := func() *compiler.Snapshot { return k.snapshot }
 	k.Dispatcher = dispatcher.New(
 		dispatcher.WithSnapshot(snapshot),
-		dispatcher.WithAuthorizer(authorizer.New(authorizer.WithSnapshot(snapshot), authorizer.WithProof(k.proven.Load))),
+		dispatcher.WithAuthorizer(authorizer.New(authorizer.WithSnapshot(snapshot), authorizer.WithProof(func() bool { return !k.noProofs }, k.proven.Load))),
 		dispatcher.WithPick(func(service string, skip []string) (wire.Member, func(dispatcher.Outcome), error) {
 			if len(skip) == 2 {
 				return wire.Member{}, nil, errors.New("no member")
@@ -99,6 +100,7 @@
 		unproven, open    bool
 		status            int
 		tenant            string
+		noProofs          bool
 		passesKey         bool
 	}{
 		{name: "key", target: "/r/x", key: "k", status: 200, tenant: "alfa"},
@@ -109,12 +111,17 @@
 		{name: "public", target: "/public/x", status: 200},
 		{name: "public with key", target: "/public/x", key: "k", status: 200},
 		{name: "public without proof", target: "/public/x", unproven: true, status: 200},
-		{name: "no tenants", target: "/r/x", key: "k", unproven: true, open: true, status: 200, passesKey: true},
+		{name: "public with key, no proof", target: "/public/x", key: "k", unproven: true, status: 503},
+		{name: "no tenants", target: "/r/x", key: "k", open: true, status: 200},
+		{name: "no tenants, no proof", target: "/r/x", key: "k", unproven: true, open: true, status: 503},
+		{name: "no tenants, no key and no proof", target: "/r/x", unproven: true, open: true, status: 200},
+		{name: "no tenants, no proofs needed", target: "/r/x", key: "k", unproven: true, open: true, noProofs: true, status: 200, passesKey: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			k := newKeyed(t)
 			k.proven.Store(!c.unproven)
+			k.noProofs = c.noProofs
 			if c.open {
 				k.snapshot = tenantSnapshot(t, 1, nil, nil)
 			}
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -193,7 +193,7 @@
 
 // canJudge reports whether the configuration is known, and proven to be current if the call has a key.
 func (d *Dispatcher) canJudge(request *courier.Request) bool {
-	return d.snapshot() != nil && (request.Header.Get(authorizer.HeaderKey) == "" || d.authorizer.Ready())
+	return d.snapshot() != nil && (!authorizer.HasKey(request.Header.Values(authorizer.HeaderKey)) || d.authorizer.Ready())
 }
 
 // configVersion returns the version and the operator's revision of the configuration in force, or zeros without one.
--- a/daemon/forwarder/authorize.go
+++ b/daemon/forwarder/authorize.go
@@ -15,10 +15,9 @@
 // authorize decides which tenant a call belongs to, and returns the response that refuses it if it must not be sent. A service
 // that a public route leads to needs no key, since its upstreams also get calls without one through the route.
 func (d *delivery) authorize() *answer {
-	d.credentials = authorizer.Call{
-		Key:      authorizer.ParseKey(d.request.Header.Values(authorizer.HeaderKey)),
-		IsPublic: func(s *compiler.Snapshot) bool { return s.IsPublicService(d.call.service.Name) },
-	}
+	d.credentials = authorizer.NewCall(d.request.Header.Values(authorizer.HeaderKey), func(s *compiler.Snapshot) bool {
+		return s.IsPublicService(d.call.service.Name)
+	})
 	var err error
 	if d.grant, err = d.f.authorizer.Authorize(d.credentials); err != nil {
 		return unauthorized(err)
@@ -53,7 +52,7 @@
 // hiddenTrailers returns the names of the trailers that could be taken for headers which the daemon sets or drops.
 func (f *Forwarder) hiddenTrailers(grant authorizer.Grant) []string {
 	var names []string
-	if grant.DropKey {
+	if grant.DropKey || f.authorizer.GuardsKeys() {
 		names = append(names, authorizer.HeaderKey)
 	}
 	if f.tenantHeader != "" {
--- a/daemon/forwarder/authorize_test.go
+++ b/daemon/forwarder/authorize_test.go
@@ -35,8 +35,13 @@
 
 // authorizeBy makes the egress side of the mesh use an authorizer with the mesh's configuration.
 func (m *mesh) authorizeBy(proven func() bool) {
+	m.authorizeWith(authorizer.WithProof(func() bool { return true }, proven))
+}
+
+// authorizeWith does the same with an authorizer that has further options.
+func (m *mesh) authorizeWith(opts ...authorizer.Option) {
 	current := func() *compiler.Snapshot { return m.snapshot }
-	forwarder.WithAuthorizer(authorizer.New(authorizer.WithSnapshot(current), authorizer.WithProof(proven)))(m.egress)
+	forwarder.WithAuthorizer(authorizer.New(append(opts, authorizer.WithSnapshot(current))...))(m.egress)
 }
 
 // TestKeys guards against service calls that are sent without a key or a proof, upstreams that get a key, and callers that
@@ -48,6 +53,7 @@
 		unproven, open     bool
 		status             int
 		tenant, passedKey  string
+		noProofs           bool // the settings call for no proofs
 	}{
 		{name: "key", service: "stock", key: "k", status: 200, tenant: "tenant-k"},
 		{name: "no key", service: "stock", status: 401},
@@ -55,14 +61,18 @@
 		{name: "no proof", service: "stock", key: "k", unproven: true, status: 503},
 		{name: "public", service: "archive", unproven: true, status: 200},
 		{name: "public with key", service: "archive", key: "k", status: 200},
-		{name: "no tenants", service: "stock", key: "k", unproven: true, open: true, status: 200, passedKey: "Token k"},
+		{name: "public with key, no proof", service: "archive", key: "k", unproven: true, status: 503},
+		{name: "no tenants", service: "stock", key: "k", open: true, status: 200},
+		{name: "no tenants, no proof", service: "stock", key: "k", unproven: true, open: true, status: 503},
+		{name: "no tenants, no key and no proof", service: "stock", unproven: true, open: true, status: 200},
+		{name: "no tenants, no proofs needed", service: "stock", key: "k", noProofs: true, open: true, status: 200, passedKey: "Token k"},
 	} {
 		run(t, c.name, 1, func(m *mesh) {
 			m.service = c.service
 			if !c.open {
 				m.snapshot = tenantSnapshot(m.t, "k")
 			}
-			m.authorizeBy(func() bool { return !c.unproven })
+			m.authorizeWith(authorizer.WithProof(func() bool { return !c.noProofs }, func() bool { return !c.unproven }))
 			var got *http.Request
 			m.upstream(func(_ http.ResponseWriter, r *http.Request) { got = r })
 			headers := []string{tenantHeader, "forged"}
--- a/daemon/forwarder/ingress.go
+++ b/daemon/forwarder/ingress.go
@@ -15,7 +15,6 @@
 	"bluebellhoist/core/compiler"
 	"bluebellhoist/core/inspector"
 	"bluebellhoist/core/wire"
-	"bluebellhoist/daemon/authorizer"
 	"bluebellhoist/daemon/budgeter"
 	"bluebellhoist/daemon/courier"
 )
@@ -249,9 +248,7 @@
 func (c *ingressCall) newRequest(ctx context.Context, now time.Time) *http.Request {
 	header := requestHeader(c.request)
 	header.Del(HeaderOnce)
-	if c.f.authorizer.NeedsKey() {
-		header.Del(authorizer.HeaderKey)
-	}
+	c.f.authorizer.DropKey(header)
 	header.Set(HeaderDeadline, strconv.FormatInt(nextHopTimeout(c.deadline, now).Milliseconds(), 10))
 	if c.once {
 		header.Set(HeaderIdempotencyKey, c.claim.Key)
--- a/daemon/runner/components.go
+++ b/daemon/runner/components.go
@@ -33,12 +33,12 @@
 		subscriber.WithFolder(s.Data),
 		subscriber.WithDepartures(r.restoreDepartures),
 		subscriber.WithDial(connector.New(connector.WithSource(s.Bind.Addr())).Dial),
-		subscriber.WithProofs(chronometer.Now, func() bool { return r.settings.Load().Revoke > 0 }),
+		subscriber.WithProofs(chronometer.Now, r.needsProofs),
 		subscriber.WithLogger(r.log.Named("subscriber")),
 	)
 	r.authorizer = authorizer.New(
 		authorizer.WithSnapshot(r.subscriber.Snapshot),
-		authorizer.WithProof(r.isProven),
+		authorizer.WithProof(r.needsProofs, r.isProven),
 		authorizer.WithLogger(r.log.Named("authorizer")),
 	)
 	r.claimer = claimer.New(claimer.WithRequest(r.subscriber.Request))
@@ -104,7 +104,7 @@
 		deliverer.WithUnreachable(r.announcer.MarkUnreachable),
 		deliverer.WithLoad(r.limiter.Load),
 		deliverer.WithBudget(r.budgeter.Check, r.budgeter.Begin),
-		deliverer.WithNeedsKey(r.authorizer.NeedsKey),
+		deliverer.WithDropKey(r.authorizer.DropKey),
 		deliverer.WithHeaderNames(r.names),
 		deliverer.WithAccount(r.account),
 	)
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -138,14 +138,15 @@
 	return r.subscriber.Snapshot() != nil && !r.stopping.Load()
 }
 
-// isProven reports whether the configuration in force is proven to have been current within the revoke time, or needs no proof.
+// needsProofs reports whether calls with a key need a proof that the configuration in force is current.
+func (r *Runner) needsProofs() bool {
+	return r.settings.Load().Revoke > 0
+}
+
+// isProven reports whether the configuration in force is proven to have been current within the revoke time.
 func (r *Runner) isProven() bool {
-	limit := time.Duration(r.settings.Load().Revoke)
-	if limit == 0 {
-		return true
-	}
 	age, ok := r.subscriber.ProofAge()
-	return ok && age < limit
+	return ok && age < time.Duration(r.settings.Load().Revoke)
 }
 
 // Report applies a status report of the local upstream. If the report does not state how many connections the upstream
--- a/spec/revocation.pml
+++ b/spec/revocation.pml
@@ -5,8 +5,10 @@
  * its key never runs.
  *
  * Abstractions:
- * - The replicated log is one number, the last committed version; repair.pml covers the log. Version 2 removes the key. It is
- *   acknowledged when it is committed, which is the earliest time.
+ * - The replicated log is one number, the last committed version; repair.pml covers the log. In version 1 the call
+ *   needs no key, since there are no tenants or its route is public. The daemon starts with it and its proof, just after version 2,
+ *   which has the key, was committed. Version 3 removes the key. It is acknowledged when it is committed, which is the
+ *   earliest time.
  * - Time is a number that may advance between any two steps, so every process may be stopped at any point. It stands for the
  *   boot-time clock of the daemon.
  * - A linearizable read takes the last committed version when it starts and ends once the controller has applied it. A
@@ -17,6 +19,7 @@
  *
  * Switches, each of which removes a rule so that an assertion must fail:
  * NOPROOF       calls need no proof
+ * HELDOPEN      calls need no proof while the version in effect calls for no key
  * NOBARRIER     a controller answers asks by its applied version without a read
  * LATEDATE      a proof is dated when the answer arrives instead of when the daemon asked
  * NOVERSION     an answer is a proof although the daemon lacks the version that it names
@@ -40,18 +43,18 @@
 mtype = { NONE, SENT, FIRST, SECOND };     /* progress of the call: sent, first and second check passed */
 
 byte now = 1;
-byte committed = 1;
+byte committed = 2;
 byte acknowledged_at = NEVER;
 
-byte applied[2] = 1;
+byte applied[2] = 2;
 mtype asking[2] = FREE;
 byte ask[2];                /* time of the ask */
 byte read_index[2];         /* version that the read must see */
 byte update[2];             /* update on its way to the daemon; 0 for none */
 byte newest[2];             /* version that the answer names */
 
-byte held = 0;              /* version in effect on the daemon; 0 for none */
-byte proof = 0;             /* time of the proof; 0 for none */
+byte held = 1;              /* version in effect on the daemon; 0 for none */
+byte proof = 1;             /* time of the proof; 0 for none */
 byte restarts = 0;
 
 inline controller_step(c) {
@@ -100,13 +103,16 @@
 	call = NONE; sent_at = 0
 }
 
-#ifdef NOPROOF
+#define RECENT (proof > 0 && now < proof + LIMIT)
+#if defined(NOPROOF)
 #define PROVEN true
+#elif defined(HELDOPEN)
+#define PROVEN (held == 1 || RECENT)
 #else
-#define PROVEN (proof > 0 && now < proof + LIMIT)
+#define PROVEN RECENT
 #endif
 
-#define KEY_KNOWN (held == 1)
+#define KEY_KNOWN (held == 1 || held == 2) /* or no key is needed */
 
 #ifdef SNAPSHOTFIRST
 #define FIRST_CHECK KEY_KNOWN
@@ -129,7 +135,7 @@
 	byte sent_at = 0;
 	do
 	:: atomic { now < LAST_TIME -> now++ }
-	:: atomic { committed == 1 -> committed = 2; acknowledged_at = now }
+	:: atomic { committed == 2 -> committed = 3; acknowledged_at = now }
 	:: atomic { controller_step(0) }
 	:: atomic { controller_step(1) }
 	:: atomic { daemon_step(0) }
