Compare the header bound without overflow

Cause: the size of a buffer was added to the bound before the comparison, and the sum was negative. Change: it is subtracted from what has arrived. Ruled out: a number that changes on its way to the daemon; the test gives the bound to the server directly.

--- a/daemon/pipeliner/head.go
+++ b/daemon/pipeliner/head.go
@@ -25,7 +25,7 @@
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, err
 		}
-		if len(head)+len(part) > bounds.MaxHeaderBytes+readBufferBytes {
+		if len(head)+len(part)-readBufferBytes > bounds.MaxHeaderBytes { // the bound plus a buffer may overflow
 			return nil, errHeaderTooLarge
 		}
 		needed += 2*int64(len(part)) + courier.FieldBytes // once as received and once parsed
--- a/daemon/pipeliner/limits_test.go
+++ b/daemon/pipeliner/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -225,3 +226,27 @@
 		})
 	}
 }
+
+// TestLargestBounds guards against bounds that overflow when something is added to them, so that a call within them is refused.
+func TestLargestBounds(t *testing.T) {
+	largest := pipeliner.Bounds{
+		MaxHeaderBytes: math.MaxInt, MaxBodyBytes: math.MaxInt64, HeaderTimeout: math.MaxInt64, IdleTimeout: math.MaxInt64,
+	}
+	for name, text := range map[string]string{
+		"short header": "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+		"long header":  "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n",
+		"body":         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+		"chunked body": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, dial := serve(t, echoBody, pipeliner.WithBounds(newConfig(largest).bounds))
+			conn := dial()
+			for range 2 {
+				conn.send(text)
+				status, _, _ := conn.receive()
+				is.Equal(status, http.StatusOK)
+			}
+		})
+	}
+}
