Sum the weights of a route without overflow

The weights of the parts of a route were added as integers: four parts of 2^62 were refused as having no weight, and the split of two parts of 2^63-1 was off by one call in 40. Change: a part with a weight is enough for a valid route, the splitter counts in floating point, and the API shows the largest weight where merged parts exceed it. Result: TestLargeWeights and the case "large weights" of TestCheckRoutes failed before and pass.

--- a/controller/administrator/queries.go
+++ b/controller/administrator/queries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -91,6 +92,11 @@
 	return out
 }
 
+// addWeights adds two weights, and returns the largest weight if the sum exceeds it.
+func addWeights(a, b int) int {
+	return a + min(b, math.MaxInt-a)
+}
+
 // routeOf returns the representation of a route in the API. Parts of the same service are merged.
 func routeOf(r wire.Route) presenter.Route {
 	out := presenter.Route{
@@ -98,7 +104,7 @@
 		Timeout: r.Timeout.String(), Target: r.Target.String(), Rank: r.Rank, Attempts: r.Attempts, Public: r.Public,
 	}
 	for _, p := range r.Parts {
-		out.Parts[p.Service] += p.Weight
+		out.Parts[p.Service] = addWeights(out.Parts[p.Service], p.Weight)
 	}
 	return out
 }
--- a/core/compiler/routes.go
+++ b/core/compiler/routes.go
@@ -73,7 +73,7 @@
 }
 
 func checkParts(parts []wire.Part, knownServices map[string]bool) error {
-	total := 0
+	weighted := false
 	for _, p := range parts {
 		if !knownServices[p.Service] {
 			return fmt.Errorf("service %q is not in the batch", p.Service)
@@ -81,9 +81,9 @@
 		if p.Weight < 0 {
 			return fmt.Errorf("weight %d of service %q is negative", p.Weight, p.Service)
 		}
-		total += p.Weight
+		weighted = weighted || p.Weight > 0
 	}
-	if total == 0 {
+	if !weighted {
 		return fmt.Errorf("no part has a weight")
 	}
 	return nil
--- a/core/compiler/routes_test.go
+++ b/core/compiler/routes_test.go
@@ -45,6 +45,12 @@
 			is.True(strings.Contains(err.Error(), c.want))
 		})
 	}
+	t.Run("large weights", func(t *testing.T) { // TestLargeWeights of the dispatcher splits calls by them
+		large := func(r *wire.Route) {
+			r.Parts = []wire.Part{{Service: "a", Weight: 1 << 62}, {Service: "b", Weight: 1 << 62}, {Service: "a", Weight: 1 << 62}, {Service: "b", Weight: 1 << 62}}
+		}
+		is.New(t).NoErr(compiler.CheckRoutes("m", []wire.Route{route("r", "h", "/", large)}, testServices))
+	})
 	t.Run("same host and prefix", func(t *testing.T) {
 		err := compiler.CheckRoutes("m", []wire.Route{route("r", "h", "/x/"), route("s", "H", "/x/")}, testServices)
 		is.New(t).True(errors.Is(err, compiler.ErrInvalid))
--- a/daemon/dispatcher/dispatcher_test.go
+++ b/daemon/dispatcher/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -215,6 +216,34 @@
 	is.Equal(got, map[string]int{"a": 45, "b": 5})
 }
 
+// TestLargeWeights guards against services that get no calls, or all of them, because the sum of the weights overflows.
+func TestLargeWeights(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		weights []int
+		want    map[string]int
+	}{
+		{"two of the largest", []int{math.MaxInt, math.MaxInt}, map[string]int{"a": 20, "b": 20}},
+		{"four whose sum is zero", []int{1 << 62, 1 << 62, 1 << 62, 1 << 62}, map[string]int{"a": 20, "b": 20}},
+		{"unequal", []int{1 << 62, 1 << 61, 1 << 61}, map[string]int{"a": 30, "b": 10}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			routes := oneRoute(true, 1)
+			routes[0].Parts = nil
+			for i, weight := range c.weights {
+				routes[0].Parts = append(routes[0].Parts, wire.Part{Service: string(rune('a' + i%2)), Weight: weight})
+			}
+			f := newFixture(t, routes, slices.Repeat([]deliverer.Result{answered}, 40)...)
+			got := map[string]int{}
+			for i := range 40 {
+				f.Handle(t.Context(), newRequest(fmt.Sprint("/r/", i)))
+				got[f.calls[i].Service]++
+			}
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
+
 // TestHold guards against calls that are refused shortly after startup although the configuration or a member is about
 // to arrive, and against calls that wait for these on a partitioned daemon.
 func TestHold(t *testing.T) {
--- a/daemon/dispatcher/splitter.go
+++ b/daemon/dispatcher/splitter.go
@@ -11,7 +11,7 @@
 type splitter struct {
 	mu      sync.Mutex
 	parts   []wire.Part
-	credits []int
+	credits []float64 // the sum of the weights may exceed the integers
 }
 
 // splitter returns the splitter of a route and resets it if the parts of the route have changed.
@@ -24,7 +24,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !slices.Equal(s.parts, route.Parts) {
-		s.parts, s.credits = route.Parts, make([]int, len(route.Parts))
+		s.parts, s.credits = route.Parts, make([]float64, len(route.Parts))
 	}
 	return s
 }
@@ -33,10 +33,10 @@
 func (s *splitter) next() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best, total := 0, 0
+	best, total := 0, 0.0
 	for i, p := range s.parts {
-		s.credits[i] += p.Weight
-		total += p.Weight
+		s.credits[i] += float64(p.Weight)
+		total += float64(p.Weight)
 		if p.Weight > 0 && (s.parts[best].Weight == 0 || s.credits[i] > s.credits[best]) {
 			best = i
 		}
