--- a/controller/replicator/leader.go
+++ b/controller/replicator/leader.go
@@ -87,19 +87,24 @@
 // term.
 func (c *core) advanceCommit() {
 	index := c.quorumValue(func(id string) uint64 {
-		if id == c.self.ID {
-			return c.log.durable
-		}
-		if p := c.peers[id]; p != nil {
-			return p.matchIndex
-		}
-		return 0
+		return c.nodeValue(id, c.log.durable, func(p *peer) uint64 { return p.matchIndex })
 	})
 	if term, ok := c.log.term(index); ok && term == c.term && index > c.log.commit {
 		c.log.commit = index
 	}
 }
 
+// nodeValue returns own for this node, the value of a peer, or 0 for a node that is no longer a member.
+func (c *core) nodeValue(id string, own uint64, value func(*peer) uint64) uint64 {
+	if id == c.self.ID {
+		return own
+	}
+	if p := c.peers[id]; p != nil {
+		return value(p)
+	}
+	return 0
+}
+
 // ownTermCommitted reports whether an entry of the current term is committed. Only then is the commit index certain to
 // cover all commits of earlier leaders.
 func (c *core) ownTermCommitted() bool {
@@ -129,13 +134,7 @@
 // completeRounds completes the rounds that a majority has acknowledged, and the reads that wait for them.
 func (c *core) completeRounds() {
 	ackedRound := c.quorumValue(func(id string) uint64 {
-		if id == c.self.ID {
-			return c.lastRound
-		}
-		if p := c.peers[id]; p != nil {
-			return p.ackedRound
-		}
-		return 0
+		return c.nodeValue(id, c.lastRound, func(p *peer) uint64 { return p.ackedRound })
 	})
 	for len(c.pendingRounds) > 0 && c.pendingRounds[0].number <= ackedRound {
 		c.quorumTick = c.pendingRounds[0].tick
--- a/controller/replicator/lost_test.go
+++ b/controller/replicator/lost_test.go
@@ -114,6 +114,7 @@
 func TestRemovedAndDisksLost(t *testing.T) {
 	for i, c := range lossCases() {
 		t.Run(c.String(), func(t *testing.T) {
+			t.Parallel() // each simulation has its own state and seed
 			s := newLossSim(t, c, uint64(i))
 			s.faultsOff, s.loss = false, 2
 			s.lose(c)
--- a/controller/replicator/quorum.go
+++ b/controller/replicator/quorum.go
@@ -11,8 +11,8 @@
 //
 // Without lost voters it is a majority. A lost voter never acts again, so a majority of the others suffices to exclude a
 // second decision among them. The decision must also meet each one that was made by a majority of all voters, lost ones
-// included, in a voter that still has its disk: n - n/2 voters do. Without that, the decision could miss entries that the lost
-// voters had acknowledged.
+// included, in a voter that still has its disk: voters - voters/2 of them do. Without that, the decision could miss entries that
+// the lost voters had acknowledged.
 func quorumSize(voters, lost int) int {
 	return max((voters-lost)/2+1, voters-voters/2)
 }
--- a/controller/replicator/replicator_test.go
+++ b/controller/replicator/replicator_test.go
@@ -235,7 +235,7 @@
 
 // BenchmarkPropose measures proposals per second with real syncs.
 func BenchmarkPropose(b *testing.B) {
-	for _, c := range []struct{ count, state int }{{1, 0}, {3, 0}, {3, 64 << 20}} {
+	for _, c := range []struct{ count, state int }{{1, 0}, {3, 0}, {4, 0}, {5, 0}, {3, 64 << 20}} {
 		count := c.count
 		b.Run(fmt.Sprintf("voters=%d/state=%dMiB", count, c.state>>20), func(b *testing.B) {
 			cl := startClusterWithPadding(b, count, make([]byte, c.state))
--- a/daemon/authorizer/authorizer.go
+++ b/daemon/authorizer/authorizer.go
@@ -139,9 +139,9 @@
 func (a *Authorizer) authorize(c Call, last *Grant) (Grant, error) {
 	// The proof must be checked first: it covers the version in force at that time and all later ones, while a snapshot that
 	// was read earlier may be older than the version that the proof covers.
-	guardsKey := c.HasKey && a.needsProofs()
 	proven := a.isProven()
 	snapshot := a.snapshot()
+	guardsKey := c.HasKey && a.GuardsKeys()
 	grant := Grant{snapshot: snapshot}
 	if snapshot == nil {
 		return grant, nil
