Remove controllers without notice in the soak

Its controllers are started with losses 1 in place of seats 3. Plans with three controllers stay the same for a seed.

--- a/soak/planner/planner.go
+++ b/soak/planner/planner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -18,6 +19,7 @@
 	Pause   Kind = "pause"   // SIGSTOP, and SIGCONT after Duration
 	Hangup  Kind = "hangup"  // SIGHUP
 	Wipe    Kind = "wipe"    // SIGKILL and loss of the data folder
+	Gone    Kind = "gone"    // SIGKILL of a controller without a restart before Duration, and loss of another one's data folder meanwhile
 	Herd    Kind = "herd"    // SIGKILL of all controllers or all daemons at once
 	Cut     Kind = "cut"     // network partition of the process in both directions
 	OneWay  Kind = "one-way" // network partition of the process, incoming direction only
@@ -39,10 +41,12 @@
 	Duration time.Duration
 	Kind     Kind
 	Target   string // process or failure domain; for Herd, the first letter of the process names; empty for Change and Race
+	Other    string // for Gone, the controller that loses its data folder
 }
 
 func (s Step) String() string {
-	return fmt.Sprintf("%6.2fs %s %s for %v", s.Start.Seconds(), s.Kind, s.Target, s.Duration)
+	targets := strings.TrimSpace(s.Target + " " + s.Other)
+	return fmt.Sprintf("%6.2fs %s %s for %v", s.Start.Seconds(), s.Kind, targets, s.Duration)
 }
 
 // Topology lists the processes and failure domains that faults can apply to.
@@ -62,6 +66,9 @@
 	wipeRecovery = 8 * time.Second
 	// plannedStopTime is the time reserved for a planned stop itself, in addition to the step's duration.
 	plannedStopTime = 3 * time.Second
+	// goneWeight is the relative frequency of Gone, which needs more than goneControllers controllers: one of them is the successor.
+	goneWeight      = 2
+	goneControllers = 3
 )
 
 // kindWeights are the relative frequencies of the kinds.
@@ -74,7 +81,7 @@
 }
 
 // Plan returns the faults of a seed, ordered by start time. The same seed and topology give the same plan. Faults may
-// overlap, with two exceptions. A Wipe overlaps neither another fault of a controller nor the recovery from it, since
+// overlap, with two exceptions. A Wipe or Gone overlaps neither another fault of a controller nor the recovery from it, since
 // the cluster tolerates the loss of only one controller's data at a time and needs all other controllers for it. At most
 // one fault at a time stops, kills or pauses the same process, or takes down the same upstream.
 func Plan(seed uint64, topology Topology) []Step {
@@ -83,6 +90,9 @@
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.ExpFloat64() * float64(meanInterval))
 		step := drawStep(rng, topology)
+		if step.Kind == Gone {
+			step.Other = otherController(rng, topology, step.Target)
+		}
 		step.Start = at
 		if at >= topology.Duration-time.Second {
 			return steps
@@ -96,13 +106,13 @@
 
 // drawStep returns a random step without a start time.
 func drawStep(rng *rand.Rand, topology Topology) Step {
-	step := Step{Kind: drawKind(rng), Duration: time.Duration(rng.Int64N(int64(maxDuration)))}
+	step := Step{Kind: drawKind(rng, topology), Duration: time.Duration(rng.Int64N(int64(maxDuration)))}
 	processes := topology.Daemons
 	if rng.IntN(3) == 0 {
 		processes = topology.Controllers
 	}
 	switch step.Kind {
-	case Wipe:
+	case Wipe, Gone:
 		step.Target = choose(rng, topology.Controllers)
 	case Herd:
 		step.Target = choose(rng, []string{"c", "d"})
@@ -117,9 +127,17 @@
 	return step
 }
 
-// drawKind returns a random kind according to kindWeights.
-func drawKind(rng *rand.Rand) Kind {
+// otherController returns a random controller that is not the given one.
+func otherController(rng *rand.Rand, topology Topology, name string) string {
+	return choose(rng, slices.DeleteFunc(slices.Clone(topology.Controllers), func(other string) bool { return other == name }))
+}
+
+// drawKind returns a random kind according to kindWeights and goneWeight.
+func drawKind(rng *rand.Rand, topology Topology) Kind {
 	total := 0
+	if len(topology.Controllers) > goneControllers {
+		total = goneWeight
+	}
 	for _, w := range kindWeights {
 		total += w.weight
 	}
@@ -130,7 +148,7 @@
 		}
 		offset -= w.weight
 	}
-	return Kill
+	return Gone
 }
 
 func choose(rng *rand.Rand, names []string) string {
@@ -139,7 +157,12 @@
 
 // takesProcessDown reports whether a step stops, kills or pauses processes. Such steps must not overlap on a process.
 func (s Step) takesProcessDown() bool {
-	return slices.Contains([]Kind{Kill, Stop, Pause, Wipe, Herd}, s.Kind)
+	return slices.Contains([]Kind{Kill, Stop, Pause, Wipe, Gone, Herd}, s.Kind)
+}
+
+// losesData reports whether a step loses the data folder of a controller.
+func (s Step) losesData() bool {
+	return s.Kind == Wipe || s.Kind == Gone
 }
 
 // takesUpstreamDown reports whether a step makes an upstream unavailable. Such steps must not overlap on an upstream.
@@ -169,7 +192,7 @@
 			return true
 		case other.takesUpstreamDown() && step.takesUpstreamDown() && overlaps && other.Target == step.Target:
 			return true
-		case other.Kind == Wipe && step.affectsController(), step.Kind == Wipe && other.affectsController():
+		case other.losesData() && step.affectsController(), step.losesData() && other.affectsController():
 			return other.end()+wipeRecovery > step.Start
 		}
 		return false
--- a/soak/planner/planner_test.go
+++ b/soak/planner/planner_test.go
@@ -35,3 +35,26 @@
 	}
 	is.New(t).Equal(len(seen), 18)
 }
+
+// TestGone guards against plans that lose more than one controller and the data of another one at a time, or that do so without a
+// successor.
+func TestGone(t *testing.T) {
+	withSuccessor := topology
+	withSuccessor.Controllers = append([]string{"c4"}, topology.Controllers...)
+	seen := 0
+	for seed := range uint64(60) {
+		is := is.New(t)
+		steps := planner.Plan(seed, withSuccessor)
+		for i, s := range steps {
+			if s.Kind != planner.Gone {
+				continue
+			}
+			seen++
+			is.True(s.Target != s.Other && s.Other != "")
+			for _, earlier := range steps[:i] {
+				is.True(earlier.Target == "" || earlier.Target[0] != 'c' || earlier.Kind == planner.Hangup || s.Start >= earlier.Start+earlier.Duration+8*time.Second)
+			}
+		}
+	}
+	is.New(t).True(seen > 10)
+}
--- a/soak/runner/faults.go
+++ b/soak/runner/faults.go
@@ -67,24 +67,21 @@
 		return
 	}
 	defer r.checker.RecordFault(step.Target)()
-	undo := r.inject(step)
+	undo := r.inject(ctx, step)
 	waiter.SleepCompleted(ctx, step.Duration)
 	undo()
 }
 
 // inject injects an unplanned fault and returns a function that undoes it.
-func (r *Runner) inject(step planner.Step) (undo func()) {
+func (r *Runner) inject(ctx context.Context, step planner.Step) (undo func()) {
 	noUndo := func() {}
 	switch step.Kind {
 	case planner.Kill:
 		return r.kill(r.processByName(step.Target))
 	case planner.Wipe:
-		p := r.processByName(step.Target)
-		restart := r.kill(p)
-		if err := os.RemoveAll(p.dataDir); err != nil {
-			r.checker.RecordViolation("data folder of %s was not removed: %v", p.name, err)
-		}
-		return restart
+		return r.wipe(r.processByName(step.Target))
+	case planner.Gone:
+		return r.removeBesideWipe(ctx, step)
 	case planner.Herd:
 		return r.killAllWithPrefix(step.Target)
 	case planner.Pause:
@@ -125,6 +122,28 @@
 	return func() { r.restart(p) }
 }
 
+// wipe kills a process, removes its data folder and returns a function that restarts it.
+func (r *Runner) wipe(p *process) (restart func()) {
+	restart = r.kill(p)
+	if err := os.RemoveAll(p.dataDir); err != nil {
+		r.checker.RecordViolation("data folder of %s was not removed: %v", p.name, err)
+	}
+	return restart
+}
+
+// removeBesideWipe kills a controller, and another one after half of the duration of the step, which restarts at once without its
+// data folder. It returns a function that restarts the first one, as if it came back after it was taken for lost.
+func (r *Runner) removeBesideWipe(ctx context.Context, step planner.Step) (restart func()) {
+	restart = r.kill(r.processByName(step.Target))
+	waiter.SleepCompleted(ctx, step.Duration/2)
+	recordEnd := r.checker.RecordFault(step.Other)
+	r.wipe(r.processByName(step.Other))()
+	return func() {
+		recordEnd()
+		restart()
+	}
+}
+
 // killAllWithPrefix kills all processes whose names begin with the prefix and returns a function that restarts them.
 func (r *Runner) killAllWithPrefix(prefix string) (restartAll func()) {
 	var restarts []func()
--- a/soak/runner/mesh.go
+++ b/soak/runner/mesh.go
@@ -74,7 +74,7 @@
 	addr := p.publicAddr(portPeers).String()
 	s := map[string]any{
 		"name": addr, "domain": p.domain, "listen": addr, "bind": p.privateAddr(portPeers).String(), "peers": addrs, "data": p.dataDir,
-		"voter": true, "seats": 3, "gossip": true, "seeds": addrs, "grace": stopGrace, "level": "debug",
+		"voter": true, "losses": 1, "gossip": true, "seeds": addrs, "grace": stopGrace, "level": "debug",
 	}
 	if firstStart {
 		s["founders"] = addrs
