Let a removed controller of the soak never come back with its data

Cause: it came back with its data within 6 s, so that the cluster recovered even if it had been stuck meanwhile, and the soak saw nothing. Change: a new controller with an empty folder takes its place.

--- a/soak/planner/planner.go
+++ b/soak/planner/planner.go
@@ -19,7 +19,7 @@
 	Pause   Kind = "pause"   // SIGSTOP, and SIGCONT after Duration
 	Hangup  Kind = "hangup"  // SIGHUP
 	Wipe    Kind = "wipe"    // SIGKILL and loss of the data folder
-	Gone    Kind = "gone"    // SIGKILL of a controller without a restart before Duration, and loss of another one's data folder meanwhile
+	Gone    Kind = "gone"    // loss of a controller, which a new one replaces after Duration, and of another one's data folder meanwhile
 	Herd    Kind = "herd"    // SIGKILL of all controllers or all daemons at once
 	Cut     Kind = "cut"     // network partition of the process in both directions
 	OneWay  Kind = "one-way" // network partition of the process, incoming direction only
--- a/soak/runner/faults.go
+++ b/soak/runner/faults.go
@@ -131,16 +131,16 @@
 	return restart
 }
 
-// removeBesideWipe kills a controller, and another one after half of the duration of the step, which restarts at once without its
-// data folder. It returns a function that restarts the first one, as if it came back after it was taken for lost.
+// removeBesideWipe kills a controller for good, and another one after half of the duration of the step, which restarts at once
+// without its data folder. It returns a function that starts a new controller in place of the first one.
 func (r *Runner) removeBesideWipe(ctx context.Context, step planner.Step) (restart func()) {
-	restartTarget := r.kill(r.processByName(step.Target))
+	startNew := r.wipe(r.processByName(step.Target))
 	waiter.SleepCompleted(ctx, step.Duration/2)
 	recordEnd := r.checker.RecordFault(step.Other)
 	r.wipe(r.processByName(step.Other))()
 	return func() {
 		recordEnd()
-		restartTarget()
+		startNew()
 	}
 }
 
